--- /dev/null
+++ b/Makefile
@@ -0,0 +1,36 @@
+VENV ?= .venv
+BIN := $(VENV)/bin
+PY := PYTHONPATH=src:. $(BIN)/python
+
+.PHONY: demo test bench matrix run format lock
+
+$(VENV)/ready: requirements.txt
+	python3 -m venv $(VENV)
+	$(BIN)/pip install -q --disable-pip-version-check -r requirements.txt
+	$(BIN)/pip install -q --disable-pip-version-check --no-deps --no-build-isolation -e .
+	touch $@
+
+test: $(VENV)/ready
+	$(BIN)/ruff format --check src tests tools
+	$(BIN)/flake8 src tests tools
+	$(BIN)/mypy src tests tools
+	$(BIN)/lint-imports
+	$(PY) -m pytest
+
+demo: $(VENV)/ready
+	$(PY) -m tools.demo
+
+bench: $(VENV)/ready
+	$(PY) -m tools.bench
+
+matrix: $(VENV)/ready
+	$(PY) -m tools.matrix
+
+run: $(VENV)/ready
+	$(BIN)/dandelionstaged --settings examples/vm.yaml
+
+format: $(VENV)/ready
+	$(BIN)/ruff format src tests tools
+
+lock: $(VENV)/ready
+	$(BIN)/pip-compile -q --extra dev --strip-extras --no-header --no-emit-index-url --no-emit-find-links -o requirements.txt pyproject.toml
--- /dev/null
+++ b/src/dandelionstage/backend/__init__.py
@@ -0,0 +1,1 @@
+"""Connections to backend servers."""
--- /dev/null
+++ b/src/dandelionstage/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The operator's command line."""
--- /dev/null
+++ b/src/dandelionstage/daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon process on an entry VM."""
--- /dev/null
+++ b/src/dandelionstage/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The HTTP interface for callers."""
--- /dev/null
+++ b/src/dandelionstage/inner/__init__.py
@@ -0,0 +1,1 @@
+"""The protocol between daemons."""
--- /dev/null
+++ b/src/dandelionstage/limits/__init__.py
@@ -0,0 +1,1 @@
+"""Limits derived from contracts: admission, quota, queues and slots."""
--- /dev/null
+++ b/src/dandelionstage/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Which VMs are alive, learnt from probes and rumours."""
--- /dev/null
+++ b/src/dandelionstage/model/__init__.py
@@ -0,0 +1,1 @@
+"""The vocabulary of the system: ids, documents, messages and verdicts."""
--- /dev/null
+++ b/src/dandelionstage/model/topology.py
@@ -0,0 +1,118 @@
+"""The published topology: VMs, backend servers, snapshots and shards."""
+
+from enum import Enum, unique
+from typing import Annotated, Final, final
+
+from pydantic import BaseModel, ConfigDict, Field
+
+from .ids import (
+    BackendId,
+    DataCentreId,
+    Revision,
+    ShardId,
+    SnapshotId,
+    VmId,
+    WorkloadId,
+)
+
+__all__ = (
+    'BackendList',
+    'BackendServer',
+    'Presence',
+    'Snapshot',
+    'Vm',
+    'VmList',
+    'Workload',
+    'WorkloadKind',
+)
+
+_MAX_PORT: Final = 65_535
+
+_Port = Annotated[int, Field(gt=0, le=_MAX_PORT)]
+_Host = Annotated[str, Field(pattern=r'^[0-9a-fA-F.:]+$')]
+
+
+@unique
+class Presence(Enum):
+    """What the platform's list says of a VM or a backend server."""
+
+    LIVE = 'live'
+    LEAVING = 'leaving'
+
+
+@unique
+class WorkloadKind(Enum):
+    """Whether a workload's requests may be repeated."""
+
+    SEARCH = 'search'
+    ACTIONS = 'actions'
+
+
+class _Published(BaseModel):
+    model_config = ConfigDict(frozen=True, extra='forbid')
+
+
+@final
+class Vm(_Published):
+    """One daemon on an entry VM, reached at the same port by TCP and UDP."""
+
+    vm: VmId = Field(min_length=1)
+    host: _Host
+    inner_port: _Port
+    presence: Presence = Presence.LIVE
+
+
+@final
+class VmList(_Published):
+    """The entry VMs of one data centre; it lags behind reality."""
+
+    data_centre: DataCentreId = Field(min_length=1)
+    vms: tuple[Vm, ...]
+
+
+@final
+class BackendServer(_Published):
+    """One backend server and the limits it declares.
+
+    :ivar slots: requests it works on at a time.
+    :ivar max_connections: connections it accepts from all VMs together.
+    """
+
+    backend: BackendId = Field(min_length=1)
+    host: _Host
+    port: _Port
+    slots: int = Field(gt=0)
+    max_connections: int = Field(gt=0)
+    presence: Presence = Presence.LIVE
+
+
+@final
+class BackendList(_Published):
+    """The backend servers of one data centre."""
+
+    data_centre: DataCentreId = Field(min_length=1)
+    backends: tuple[BackendServer, ...]
+
+
+@final
+class Snapshot(_Published):
+    """One snapshot with the shard map that belongs to it.
+
+    :ivar shard_map_revision: names this assignment of shards.
+    :ivar published_at_s: seconds since 1970.
+    :ivar shards: the backend servers that hold each shard, in any order.
+    """
+
+    snapshot: SnapshotId = Field(min_length=1)
+    shard_map_revision: Revision = Field(ge=0)
+    published_at_s: float = Field(ge=0)
+    shards: dict[ShardId, tuple[BackendId, ...]] = Field(min_length=1)
+
+
+@final
+class Workload(_Published):
+    """A searchable archive or an action service, newest snapshot first."""
+
+    workload: WorkloadId = Field(min_length=1)
+    kind: WorkloadKind = WorkloadKind.SEARCH
+    snapshots: tuple[Snapshot, ...] = Field(min_length=1)
--- /dev/null
+++ b/src/dandelionstage/operations/__init__.py
@@ -0,0 +1,1 @@
+"""Metrics, logs and the operator's HTTP interface."""
--- /dev/null
+++ b/src/dandelionstage/query/__init__.py
@@ -0,0 +1,1 @@
+"""Pin a snapshot, plan sub-requests, gather parts and state coverage."""
--- /dev/null
+++ b/src/dandelionstage/retries/__init__.py
@@ -0,0 +1,1 @@
+"""Retry budget, hedging and backoff."""
--- /dev/null
+++ b/src/dandelionstage/settings/__init__.py
@@ -0,0 +1,1 @@
+"""The settings file of one daemon, read and validated."""
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of dandelionstage."""
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Development tools: stand-ins, demo, bench and fault matrix."""
--- /dev/null
+++ b/tools/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the systems around the product."""
