--- /dev/null
+++ b/src/dandelionstage/lifecycle/__init__.py
@@ -0,0 +1,1 @@
+"""The stop sequence and the notice of a paused process."""
--- a/src/dandelionstage/model/documents.py
+++ b/src/dandelionstage/model/documents.py
@@ -71,7 +71,9 @@
     problem: str
 
 
-_MODELS: Final[Mapping[DocumentKind, type[BaseModel]]] = MappingProxyType(
+_Models = Mapping[DocumentKind, type[BaseModel]]
+
+_MODELS: Final[_Models] = MappingProxyType(
     {
         DocumentKind.CONTRACT: Contract,
         DocumentKind.WORKLOAD: Workload,
--- a/src/dandelionstage/model/messages.py
+++ b/src/dandelionstage/model/messages.py
@@ -1,28 +1,41 @@
 """Typed messages between the parts of a daemon and between daemons."""
 
+from collections.abc import Mapping
 from dataclasses import dataclass
 from typing import final
 
 from .contract import Priority
+from .documents import Document
 from .ids import (
     BackendId,
     CallId,
     CustomerId,
     DataCentreId,
+    DocumentKey,
+    Incarnation,
     RecordId,
     RequestId,
     Revision,
     ShardId,
     SnapshotId,
+    TicketId,
     VmId,
     WorkloadId,
 )
 from .verdict import Verdict
 
 __all__ = (
+    'ActionCall',
+    'ActionOutcome',
+    'Digest',
+    'Documents',
+    'LeaseGrant',
+    'LeaseRequest',
+    'Leaving',
     'OwnerKey',
     'Part',
     'Pin',
+    'Pull',
     'Record',
     'SubReply',
     'SubRequest',
@@ -119,3 +132,95 @@
     held_snapshots: tuple[SnapshotId, ...] = ()
     service_ms: float = 0
     queue_ms: float = 0
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class ActionCall:
+    """An action, sent on to the process that minted its ticket."""
+
+    call: CallId
+    request: RequestId
+    customer: CustomerId
+    workload: WorkloadId
+    ticket: TicketId
+    action_json: str
+    remaining_ms: float
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class ActionOutcome:
+    """How an action ended, as its minting process knows it.
+
+    :ivar outcome_json: the backend server's word when it ran, else empty.
+    """
+
+    call: CallId
+    verdict: Verdict
+    outcome_json: str = ''
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class Digest:
+    """Sums up the documents a VM holds, to compare with a peer's."""
+
+    documents_hash: int
+    highest_revision: Revision
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class Pull:
+    """Asks a peer for every document above the revisions already held."""
+
+    call: CallId
+    held: Mapping[DocumentKey, Revision]
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class Documents:
+    """Documents pushed to a peer (an empty call) or pulled by one."""
+
+    call: CallId
+    documents: tuple[Document, ...]
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class LeaseRequest:
+    """Asks the holder of a limit for a share of it.
+
+    :ivar key: which limit, as in ``quota/<customer>``.
+    :ivar amount: in the limit's own unit.
+    """
+
+    call: CallId
+    key: str
+    amount: float
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class LeaseGrant:
+    """A share lent for a time, counted from the request's send.
+
+    The borrower counts from when it sent the request, the lender from when
+    it sent the grant, so the borrower always stops first.
+    """
+
+    call: CallId
+    key: str
+    amount: float
+    duration_ms: int
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class Leaving:
+    """A VM says that this incarnation of itself is stopping."""
+
+    vm: VmId
+    incarnation: Incarnation
