--- /dev/null
+++ b/tools/standins/backend/listener.py
@@ -0,0 +1,118 @@
+"""Accepts connections for one stand-in backend server up to its limit."""
+
+from collections.abc import Iterator
+from contextlib import contextmanager
+from dataclasses import replace
+from http import HTTPStatus
+from typing import Final, final
+
+import anyio
+from anyio.abc import SocketStream
+
+from ..http import HttpReply, HttpRequest, Sending
+from ..serving import serve_stream, swallow
+from .faults import Faults, Silence
+from .server import BackendState
+
+__all__ = ('Listener',)
+
+_MS: Final = 1000
+
+
+@final
+class Listener:
+    """Serves the connections of one server."""
+
+    def __init__(self, state: BackendState) -> None:
+        """Start with no connection open."""
+        self._state = state
+        self._doors: set[_Door] = set()
+
+    async def accept(self, stream: SocketStream) -> None:
+        """Serve one connection, or close it if the server is full."""
+        connections = self._state.witness.connections
+        async with stream:
+            if connections.in_use >= self._state.setup.max_connections:
+                self._state.witness.refused_connections += 1
+                return
+            door = _Door(self, self._state, stream)
+            with self._standing(door):
+                await door.serve()
+
+    def control(self, request: HttpRequest) -> HttpReply:
+        """Answer a command or a question of the test itself."""
+        if request.target == '/control/log':
+            return HttpReply.of(HTTPStatus.OK, log=self._state.witness.log())
+        if request.target == '/control/maxima':
+            return HttpReply.of(HTTPStatus.OK, **self._state.witness.describe())
+        if request.target != '/control/faults':
+            return HttpReply.of(HTTPStatus.NOT_FOUND)
+        self._state.obey(Faults.model_validate_json(request.body))
+        if self._state.faults.silence is not Silence.NONE:
+            self._hush()
+        return HttpReply.of(HTTPStatus.OK)
+
+    @contextmanager
+    def _standing(self, door: '_Door') -> Iterator[None]:
+        connections = self._state.witness.connections
+        connections.in_use += 1
+        self._state.witness.opened_connections += 1
+        self._doors.add(door)
+        try:  # noqa: WPS501 -- the connection is counted out, errors pass
+            yield
+        finally:
+            self._doors.discard(door)
+            connections.in_use -= not door.control
+
+    def _hush(self) -> None:
+        for door in self._doors:
+            if not door.control:
+                door.hush()
+
+
+@final
+class _Door:
+    """One accepted connection: may go silent, or turn out to be control."""
+
+    def __init__(
+        self,
+        listener: Listener,
+        state: BackendState,
+        stream: SocketStream,
+    ) -> None:
+        self.control = False
+        self._listener = listener
+        self._state = state
+        self._stream = stream
+        self._silent = state.faults.silence is Silence.ALL
+        self._busy = False
+        self._scope = anyio.CancelScope()
+
+    async def serve(self) -> None:
+        """Serve until the client closes; swallow everything once silent."""
+        with self._scope:
+            await anyio.sleep(self._state.setup.connect_ms / _MS)
+            if not self._silent:
+                await serve_stream(self._stream, self._handle)
+        if self._silent:
+            await swallow(self._stream)
+
+    def hush(self) -> None:
+        """Go silent for good; a call that runs still runs to its end."""
+        self._silent = True
+        if not self._busy:
+            self._scope.cancel()
+
+    async def _handle(self, request: HttpRequest) -> HttpReply:
+        connections = self._state.witness.connections
+        if request.target.startswith('/control/'):
+            connections.in_use -= not self.control
+            self.control = True
+            return self._listener.control(request)
+        connections.note()
+        self._busy = True
+        reply = await self._state.handle(request)
+        self._busy = False
+        if self._silent:
+            return replace(reply, sending=Sending.WITHHELD)
+        return reply
