--- /dev/null
+++ b/src/dandelionstage/query/answer.py
@@ -0,0 +1,60 @@
+"""Makes the answer of a query from the parts merged."""
+
+from ..model.coverage import Coverage
+from ..model.verdict import Reason, Run, Verdict
+from .gather import Gather
+from .messages import Answer, Query
+from .tools import Tally
+
+__all__ = ('make_answer', 'make_refusal')
+
+
+def make_answer(query: Query, gather: Gather, tally: Tally) -> Answer:
+    """State what was merged, or refuse what the contract calls too little."""
+    coverage = gather.coverage()
+    enough = _is_enough(query, coverage)
+    return Answer(
+        verdict=_allow() if enough else _refuse(query, coverage, tally),
+        pin=gather.pin,
+        published_at_s=gather.snapshot.published_at_s,
+        coverage=coverage,
+        records=gather.records() if enough else (),
+        extra_load=tally.extra_load,
+        primaries=tally.primaries,
+        events=dict(tally.events),
+    )
+
+
+def make_refusal(reason: Reason, tally: Tally) -> Answer:
+    """Refuse a query that no snapshot was pinned for."""
+    return Answer(
+        Verdict(tally.worst.run, reason),
+        extra_load=tally.extra_load,
+        primaries=tally.primaries,
+        events=dict(tally.events),
+    )
+
+
+def _is_enough(query: Query, coverage: Coverage) -> bool:
+    if not coverage.answered:
+        return False
+    return coverage.fraction >= query.contract.minimum_coverage
+
+
+def _allow() -> Verdict:
+    return Verdict(Run.RAN, Reason.OK)
+
+
+def _refuse(query: Query, coverage: Coverage, tally: Tally) -> Verdict:
+    detail = '{0} of {1} shards answered, {2} of them required; {3}'
+    return Verdict(
+        run=tally.worst.run,
+        reason=Reason.COVERAGE_TOO_LOW,
+        retry_after_ms=tally.retry_after_ms,
+        detail=detail.format(
+            coverage.answered,
+            coverage.total,
+            query.contract.minimum_coverage,
+            'last refusal: {0}'.format(tally.last_refusal.value),
+        ),
+    )
--- /dev/null
+++ b/src/dandelionstage/query/attempts.py
@@ -0,0 +1,128 @@
+"""Decides on the next attempt at a shard."""
+
+from collections.abc import Iterator
+from typing import Final, final
+
+from ..model.messages import SubReply
+from ..model.verdict import Reason, Run, Verdict
+from ..retries.backoff import backoff_ms
+from ..retries.moves import Move, is_free, move_after
+from .dispatch import Dispatch
+from .messages import Query, QueryCommand
+from .picking import pick_hedge, pick_next, pick_retry
+from .shard import Attempt, ShardProgress, Shards
+from .tools import QueryTools, Tally
+
+__all__ = ('Attempts',)
+
+#: Attempts at one shard under one pin, the first one included.
+_MAX_ATTEMPTS: Final = 4
+
+_Commands = Iterator[QueryCommand]
+
+
+@final
+class Attempts:
+    """First attempts, retries and hedges under one pin.
+
+    A retry or a hedge needs the customer's budget, but for a move to another
+    owner or replica after a refusal that cost no backend server any work.
+    """
+
+    def __init__(
+        self,
+        query: Query,
+        shards: Shards,
+        dispatch: Dispatch,
+        tools: QueryTools,
+        tally: Tally,
+    ) -> None:
+        """Decide for these shards."""
+        self._query = query
+        self._shards = shards
+        self._dispatch = dispatch
+        self._tools = tools
+        self._tally = tally
+
+    def begin(self, progress: ShardProgress, now_ms: float) -> _Commands:
+        """Make the first attempt."""
+        target = pick_next(self._query, progress, self._tools)
+        if target is None:
+            self._give_up(progress, Reason.NO_REPLICA)
+        else:
+            yield self._dispatch.send(progress, target, now_ms)
+
+    def settle(self, attempt: Attempt, now_ms: float) -> _Commands:
+        """Cancel the attempts that lost to this one."""
+        self._tools.delays.observe(
+            self._query.workload,
+            attempt.shard,
+            now_ms - attempt.sent_ms,
+        )
+        progress = self._shards[attempt.shard]
+        self._shards.close(progress)
+        yield from self._dispatch.cancel(progress.out.values())
+
+    def move_on(
+        self,
+        attempt: Attempt,
+        reply: SubReply,
+        verdict: Verdict,
+        now_ms: float,
+    ) -> _Commands:
+        """Go on after an attempt that brought no part."""
+        progress = self._shards[attempt.shard]
+        move = move_after(verdict.reason)
+        news = progress.rule_out(move, attempt, reply)
+        if progress.all_gone:
+            self._shards.pin_gone = True
+        if move is Move.GIVE_UP or progress.all_gone:
+            self._give_up(progress, verdict.reason)
+            return
+        target = pick_next(self._query, progress, self._tools)
+        if target and news and _is_free(verdict) and not progress.out:
+            self._tally.events[verdict.reason] += 1
+            yield self._dispatch.send(progress, target, now_ms)
+        else:
+            self._plan_retry(progress, verdict, now_ms)
+
+    def add(self, progress: ShardProgress, now_ms: float) -> _Commands:
+        """Make the hedge or the retry that is due."""
+        pick = pick_hedge if progress.out else pick_retry
+        target = pick(self._query, progress, self._tools)
+        budget = self._tools.budgets.of(self._query.contract)
+        if target is None:
+            self._give_up(progress, Reason.NO_REPLICA)
+        elif budget.take():
+            self._tally.events[Reason.HEDGED] += bool(progress.out)
+            yield self._dispatch.send(progress, target, now_ms)
+        else:
+            self._tally.events[Reason.RETRY_BUDGET_EMPTY] += 1
+            self._give_up(progress, Reason.RETRY_BUDGET_EMPTY)
+
+    def _plan_retry(
+        self,
+        progress: ShardProgress,
+        verdict: Verdict,
+        now_ms: float,
+    ) -> None:
+        due_ms = now_ms + backoff_ms(
+            progress.attempts,
+            verdict.retry_after_ms,
+            self._tools.random,
+        )
+        too_late = due_ms >= self._query.deadline_ms
+        if too_late or progress.attempts >= _MAX_ATTEMPTS:
+            self._give_up(progress, verdict.reason)
+        else:
+            self._tally.events[verdict.reason] += 1
+            self._dispatch.timers.plan(progress, due_ms)
+
+    def _give_up(self, progress: ShardProgress, reason: Reason) -> None:
+        if not progress.out:
+            self._tally.last_refusal = reason
+            self._shards.close(progress)
+
+
+def _is_free(verdict: Verdict) -> bool:
+    return verdict.run is Run.NOT_RUN and is_free(verdict.reason)
--- /dev/null
+++ b/src/dandelionstage/query/gather.py
@@ -0,0 +1,81 @@
+"""Merges parts of one snapshot and states what they cover."""
+
+from typing import final
+
+from ..model.coverage import Coverage
+from ..model.ids import RecordId, ShardId
+from ..model.messages import Part, Record
+from ..model.topology import Snapshot
+from ..model.verdict import Reason
+from .pinning import pin_of
+
+__all__ = ('Gather',)
+
+
+@final
+class Gather:
+    """The parts of one answer, all of one snapshot and one shard map.
+
+    :param snapshot: the pinned one; its shard map is the only measure of
+        coverage.
+    """
+
+    def __init__(self, snapshot: Snapshot) -> None:
+        """Start without any part."""
+        self._snapshot = snapshot
+        self.pin = pin_of(snapshot)
+        self._parts: dict[ShardId, Part] = {}
+
+    @property
+    def snapshot(self) -> Snapshot:
+        """The pinned snapshot."""
+        return self._snapshot
+
+    def merge(self, part: Part, shard: ShardId) -> Reason:
+        """Take in a part if it is what was asked for.
+
+        :param shard: the shard that the attempt was for.
+        :returns: ``OK``, or why the part was dropped.
+        """
+        fault = self._check(part, shard)
+        if fault is Reason.OK:
+            self._parts[shard] = part
+        return fault
+
+    def has(self, shard: ShardId) -> bool:
+        """Whether the shard's part was merged."""
+        return shard in self._parts
+
+    def coverage(self) -> Coverage:
+        """State which shards of the pinned shard map are merged."""
+        missing = tuple(
+            sorted(
+                shard
+                for shard in self._snapshot.shards
+                if shard not in self._parts
+            ),
+        )
+        return Coverage(len(self._snapshot.shards) - len(missing), missing)
+
+    def records(self) -> tuple[Record, ...]:
+        """List each record once, in the order of the shard map.
+
+        While shards are split or moved two of them may hold the same record.
+        """
+        found: dict[RecordId, Record] = {}
+        for shard in self._snapshot.shards:
+            part = self._parts.get(shard)
+            if part is None:
+                continue
+            for record in part.records:
+                found.setdefault(record.record, record)
+        return tuple(found.values())
+
+    def _check(self, part: Part, shard: ShardId) -> Reason:
+        if part.pin != self.pin:
+            return Reason.SNAPSHOT_MISMATCH
+        if part.shard != shard or shard in self._parts:
+            return Reason.BAD_REPLY
+        if part.backend not in self._snapshot.shards[shard]:
+            return Reason.BAD_REPLY
+        return Reason.OK
--- /dev/null
+++ b/src/dandelionstage/query/shard.py
@@ -0,0 +1,140 @@
+"""The attempts at one shard: what is out, ruled out and next."""
+
+import math
+from collections.abc import Iterator
+from dataclasses import dataclass
+from typing import TypeVar, final
+
+from ..model.ids import BackendId, CallId, DataCentreId, ShardId, VmId
+from ..model.messages import SubReply
+from ..model.topology import Snapshot
+from ..retries.moves import Move
+from ..routing.targets import Target
+
+__all__ = ('Attempt', 'ShardProgress', 'Shards')
+
+_Item = TypeVar('_Item')
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class Attempt:
+    """One sub-request that has not been answered yet."""
+
+    call: CallId
+    shard: ShardId
+    target: Target
+    sent_ms: float
+
+
+@final
+class ShardProgress:
+    """The attempts at one shard under one pin.
+
+    :ivar due_ms: when the next attempt is due: a hedge while one is out,
+        else a retry; infinite when none is planned.
+    :ivar open: whether a part may still come.
+    """
+
+    def __init__(
+        self,
+        shard: ShardId,
+        replicas: tuple[BackendId, ...],
+    ) -> None:
+        """Start with nothing tried."""
+        self.shard = shard
+        self.replicas = replicas
+        self.out: dict[CallId, Attempt] = {}
+        self.due_ms = math.inf
+        self.attempts = 0
+        self.open = True
+        self.avoid: frozenset[BackendId] = frozenset()
+        self._gone: frozenset[BackendId] = frozenset()
+        self._shunned: set[VmId] = set()
+        self._busy: set[DataCentreId] = set()
+
+    @property
+    def all_gone(self) -> bool:
+        """Whether no replica holds the shard in the pinned snapshot."""
+        return self._gone.issuperset(self.replicas)
+
+    def rule_out(self, move: Move, attempt: Attempt, reply: SubReply) -> bool:
+        """Remember what not to try again; whether that was news."""
+        if move is Move.NEXT_OWNER:
+            return self.shun(attempt.target.vm)
+        blamed = _blame(attempt, reply)
+        if move is Move.GONE:
+            before = self._gone
+            self._gone = before | blamed
+            self.avoid |= blamed
+            return before != self._gone
+        if move is Move.NEXT_REPLICA and reply.backend:
+            known = self.avoid.issuperset(blamed)
+            self.avoid |= blamed
+            return not known
+        return _add(self._busy, attempt.target.owner_key.data_centre)
+
+    def shun(self, vm: VmId) -> bool:
+        """Try other owners first from now on; whether that was news."""
+        return _add(self._shunned, vm)
+
+    def pick(self, targets: tuple[Target, ...]) -> Target | None:
+        """Choose the best target that nothing speaks against."""
+        for target in targets:
+            if self._is_clear(target):
+                return target
+        return None
+
+    def forgive(self) -> None:
+        """Allow everything again but replicas that lack the pin."""
+        self._shunned.clear()
+        self._busy.clear()
+        self.avoid = self._gone
+
+    def _is_clear(self, target: Target) -> bool:
+        if target.vm in self._shunned:
+            return False
+        return target.owner_key.data_centre not in self._busy
+
+
+@final
+class Shards:
+    """The shards of one pinned snapshot.
+
+    :ivar open: how many may still bring a part.
+    :ivar pin_gone: whether one has no replica left that holds the pin.
+    """
+
+    def __init__(self, snapshot: Snapshot) -> None:
+        """Start with all open."""
+        self._shards = {
+            shard: ShardProgress(shard, replicas)
+            for shard, replicas in snapshot.shards.items()
+        }
+        self.open = len(self._shards)
+        self.pin_gone = False
+
+    def __iter__(self) -> Iterator[ShardProgress]:
+        """Go through the shards in the order of the shard map."""
+        return iter(self._shards.values())
+
+    def __getitem__(self, shard: ShardId) -> ShardProgress:
+        """Return the progress of one shard."""
+        return self._shards[shard]
+
+    def close(self, progress: ShardProgress) -> None:
+        """Expect no part of this shard any more."""
+        progress.open = False
+        self.open -= 1
+
+
+def _blame(attempt: Attempt, reply: SubReply) -> frozenset[BackendId]:
+    if reply.backend is None:
+        return frozenset(attempt.target.replicas)
+    return frozenset((reply.backend,))
+
+
+def _add(items: set[_Item], item: _Item) -> bool:
+    known = item in items
+    items.add(item)
+    return not known
