DocumentStore and Topology

Cause: every part of a daemon needs the documents in force as one view. Ruled out: counting a refused revision as held, because a broken document with a very high revision would then block every later valid one; refusing documents for what other documents say, because the outcome would depend on the order of arrival. A VM published twice stands where the later revision puts it. Another body at a revision in force is refused and reported. Proof: with the comparison of revisions taken out of DocumentStore.offer, three of the five tests fail (any order of arrival, tombstone, same revision).

--- /dev/null
+++ b/src/dandelionstage/configuration/store.py
@@ -0,0 +1,121 @@
+"""The documents in force on one VM; a revision only ever grows."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from types import MappingProxyType
+from typing import Final, final
+
+import xxhash
+from returns.result import Failure, Success
+
+from ..model.documents import Body, Document
+from ..model.ids import DocumentKey, Revision
+from ..model.messages import Digest
+from .offers import Offer, OfferOutcome, judge_older, validate
+from .refusals import Refusal, Refusals
+from .topology import EMPTY_TOPOLOGY, Topology
+from .topology_builder import build_topology
+
+__all__ = ('DocumentStore',)
+
+#: Hashes travel as signed 64-bit integers.
+_HASH_MASK: Final = 0x7FFFFFFFFFFFFFFF
+
+#: Below every revision.
+_NO_REVISION: Final = -1
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class _Entry:
+    document: Document
+    body: Body | None
+
+
+@final
+class DocumentStore:
+    """Holds the newest valid document of each key, tombstones too.
+
+    The one guard of "never reverts": a document is replaced only by a
+    higher revision, whichever source it came from.
+
+    :ivar refusals: invalid documents, kept to be reported.
+    """
+
+    def __init__(self) -> None:
+        """Hold nothing yet."""
+        self.refusals = Refusals()
+        self._entries: dict[DocumentKey, _Entry] = {}
+        self._held: dict[DocumentKey, Revision] = {}
+        self._digest = Digest(0, Revision(0))
+        self._topology: Topology | None = EMPTY_TOPOLOGY
+
+    @property
+    def topology(self) -> Topology:
+        """The documents in force, joined; the same object until a change."""
+        if self._topology is None:
+            self._topology = build_topology(
+                (entry.document.revision, entry.body)
+                for entry in self._entries.values()
+                if entry.body is not None
+            )
+        return self._topology
+
+    def offer(self, document: Document) -> Offer:
+        """Take a document if it is newer and valid, else say why not.
+
+        An invalid document changes nothing, and its revision does not count
+        as held, so that the last good one stays and the next one is taken.
+        """
+        entry = self._entries.get(document.key)
+        if entry is not None and document.revision <= entry.document.revision:
+            return judge_older(document, entry.document)
+        match validate(document):
+            case Success(body):
+                self._put(_Entry(document, body))
+                return Offer(OfferOutcome.ACCEPTED)
+            case Failure(faults):
+                refusal = Refusal(document.revision, faults)
+                self.refusals.note(document.key, refusal)
+                return Offer(OfferOutcome.INVALID, faults)
+        raise AssertionError('a result is a success or a failure')
+
+    def held(self) -> Mapping[DocumentKey, Revision]:
+        """Map each key to the revision in force, withdrawn ones too.
+
+        The mapping is a view that follows later changes.
+        """
+        return MappingProxyType(self._held)
+
+    def newer_than(
+        self,
+        held: Mapping[DocumentKey, Revision],
+    ) -> tuple[Document, ...]:
+        """List the documents that a holder of these revisions lacks."""
+        return tuple(
+            entry.document
+            for key, entry in self._entries.items()
+            if entry.document.revision > held.get(key, _NO_REVISION)
+        )
+
+    def digest(self) -> Digest:
+        """Sum up keys and revisions, to compare with a peer's."""
+        return self._digest
+
+    def _put(self, entry: _Entry) -> None:
+        document = entry.document
+        documents_hash = self._digest.documents_hash ^ _hash(document)
+        replaced = self._entries.get(document.key)
+        if replaced is not None:
+            documents_hash ^= _hash(replaced.document)
+        highest = max(self._digest.highest_revision, document.revision)
+        self._digest = Digest(documents_hash, highest)
+        self._entries[document.key] = entry
+        self._held[document.key] = document.revision
+        self._topology = None
+        self.refusals.clear(document.key, document.revision)
+
+
+def _hash(document: Document) -> int:
+    text = '{0}@{1}'.format(document.key, document.revision)
+    return xxhash.xxh64_intdigest(text.encode()) & _HASH_MASK
--- /dev/null
+++ b/src/dandelionstage/configuration/topology_builder.py
@@ -0,0 +1,78 @@
+"""Joins the documents in force into one topology."""
+
+from collections.abc import Iterable, Mapping
+from operator import itemgetter
+
+from ..model.contract import Contract
+from ..model.documents import Body
+from ..model.ids import BackendId, DataCentreId, Revision, VmId
+from ..model.topology import BackendList, Presence, VmList, Workload
+from .topology import PlacedBackend, PlacedVm, Topology, VmLists
+
+__all__ = ('build_topology',)
+
+
+def build_topology(bodies: Iterable[tuple[Revision, Body]]) -> Topology:
+    """Join the bodies in force into one view.
+
+    A VM or backend server published in two data centres stands where the
+    later revision puts it: it has moved, and the older list lags.
+
+    :param bodies: each valid body with the revision of its document.
+    """
+    ordered = [body for _revision, body in sorted(bodies, key=_order)]
+    vms = _place_vms(ordered)
+    return Topology(
+        contracts={
+            body.customer: body
+            for body in ordered
+            if isinstance(body, Contract)
+        },
+        workloads={
+            body.workload: body
+            for body in ordered
+            if isinstance(body, Workload)
+        },
+        backends=_place_backends(ordered),
+        vms=vms,
+        vm_lists=_list_vms(vms, Presence.LIVE),
+        leaving_vm_lists=_list_vms(vms, Presence.LEAVING),
+    )
+
+
+def _order(item: tuple[Revision, Body]) -> tuple[Revision, str]:
+    revision, body = item
+    if isinstance(body, BackendList | VmList):
+        return revision, body.data_centre
+    return revision, ''
+
+
+def _place_backends(
+    bodies: Iterable[Body],
+) -> dict[BackendId, PlacedBackend]:
+    return {
+        server.backend: PlacedBackend(server, body.data_centre)
+        for body in bodies
+        if isinstance(body, BackendList)
+        for server in body.backends
+    }
+
+
+def _place_vms(bodies: Iterable[Body]) -> dict[VmId, PlacedVm]:
+    return {
+        vm.vm: PlacedVm(vm, body.data_centre)
+        for body in bodies
+        if isinstance(body, VmList)
+        for vm in body.vms
+    }
+
+
+def _list_vms(vms: Mapping[VmId, PlacedVm], presence: Presence) -> VmLists:
+    lists: dict[DataCentreId, list[VmId]] = {}
+    for vm, placed in sorted(vms.items(), key=itemgetter(0)):
+        members = lists.setdefault(placed.data_centre, [])
+        if placed.vm.presence is presence:
+            members.append(vm)
+    return {
+        data_centre: tuple(members) for data_centre, members in lists.items()
+    }
