Settings of one daemon, read with every fault listed at once

A daemon must know its addresses, data centre and first peers before it can read anything published, and an operator must see all that is wrong in one go. YAML lets a key given twice pass, so the loader refuses it.

--- /dev/null
+++ b/src/dandelionstage/settings/reader.py
@@ -0,0 +1,51 @@
+"""Read a settings file and list every fault in it at once."""
+
+from collections.abc import Mapping
+from pathlib import Path
+from typing import Any, Final
+
+import yaml
+from pydantic import ValidationError
+from returns.result import Failure, Result, Success
+
+from .faults import SettingsFault, SettingsFaults, describe, shorten
+from .model import Settings
+from .yaml_loader import UniqueKeyLoader
+
+__all__ = ('SettingsFault', 'SettingsFaults', 'read_settings')
+
+_WHOLE_FILE: Final = '(file)'
+
+
+def read_settings(path: Path) -> Result[Settings, SettingsFaults]:
+    """Read the settings of one daemon from a YAML file.
+
+    :returns: the settings, or every fault of the file.
+    """
+    try:
+        raw = yaml.load(path.read_bytes(), Loader=UniqueKeyLoader)
+    except OSError as error:
+        return _fail_whole(str(path), 'must be a readable file', error)
+    except (yaml.YAMLError, ValueError, TypeError) as error:
+        return _fail_whole(str(path), 'must be valid YAML', error)
+    if not isinstance(raw, dict):
+        return _fail_whole(shorten(raw), 'must be a mapping of settings')
+    return _validate(raw)
+
+
+def _validate(raw: Mapping[str, Any]) -> Result[Settings, SettingsFaults]:
+    try:
+        return Success(Settings.model_validate(raw))
+    except ValidationError as error:
+        faults = error.errors(include_url=False)
+    return Failure(tuple(describe(fault) for fault in faults))
+
+
+def _fail_whole(
+    found: str,
+    allowed: str,
+    error: Exception | None = None,
+) -> Result[Settings, SettingsFaults]:
+    if error is not None:
+        allowed = '{0} ({1})'.format(allowed, shorten(error))
+    return Failure((SettingsFault(_WHOLE_FILE, found, allowed),))
