Metrics, logs and the operator's HTTP interface

An operator must see each refusal and retry reason from the first scrape, so every Reason and Event starts at zero. Counts are plain integers read by one collector at scrape time and by the status page, so that a request pays an addition and no label look-up, and both pages tell the same. Histograms travel in the status in their encoded form, so that a report over many daemons merges them exactly rather than averaging quantiles. The number of customers told apart is bounded; the others share one row.

Log lines are rendered from the record in both forms, with keys hidden in messages, fields and tracebacks; the request id rides on contextvars. Repeating faults are written once an interval with the number withheld.

Ruled out: prometheus_client counters with labels on the hot path (a look-up per count and a second copy of the state for the status page).

--- /dev/null
+++ b/src/dandelionstage/operations/labels.py
@@ -0,0 +1,52 @@
+"""The names under which measurements are kept."""
+
+from enum import Enum, unique
+
+__all__ = ('Event', 'Hop')
+
+
+@unique
+class Hop(Enum):
+    """A stretch of a request's way whose latency is measured."""
+
+    #: A whole query, from its arrival at the entry to its answer.
+    QUERY = 'query'
+    #: A whole action, from its arrival at the entry to its outcome.
+    ACTION = 'action'
+    #: One attempt, from the entry to an owner and back.
+    SUB_REQUEST = 'sub_request'
+    #: Time in the owner's queue.
+    QUEUE = 'queue'
+    #: One attempt, from the owner to a backend server and back.
+    BACKEND = 'backend'
+
+
+@unique
+class Event(Enum):
+    """Something an operator may want to know of, counted since the start."""
+
+    #: A reply to a call that is unknown, over or already answered.
+    LATE_REPLY = 'late_reply'
+    #: A part that did not echo the pinned snapshot and shard map.
+    MISMATCHED_PART = 'mismatched_part'
+    #: A record found on two shards, kept once.
+    DUPLICATE_RECORD = 'duplicate_record'
+    #: A query that started again on another snapshot.
+    QUERY_RESTARTED = 'query_restarted'
+    DOCUMENT_ACCEPTED = 'document_accepted'
+    #: A published document that was refused; the last good one stays.
+    DOCUMENT_INVALID = 'document_invalid'
+    #: A document older than the one in force, refused.
+    DOCUMENT_STALE = 'document_stale'
+    #: A read of the configuration service.
+    CONFIG_READ = 'config_read'
+    CONFIG_READ_FAILED = 'config_read_failed'
+    #: The process noticed that it had not run for a while.
+    PROCESS_PAUSE = 'process_pause'
+    #: A connection that went silent and was replaced.
+    CONNECTION_REPLACED = 'connection_replaced'
+    #: A frame or datagram that could not be decoded.
+    BAD_FRAME = 'bad_frame'
+    PEER_SUSPECTED = 'peer_suspected'
+    TICKET_MINTED = 'ticket_minted'
+    ACTION_REPEATED = 'action_repeated'
