--- a/src/dandelionstage/inner/inner.thrift
+++ b/src/dandelionstage/inner/inner.thrift
@@ -46,6 +46,8 @@
   12: required list<string> held_snapshots
   13: required double service_ms
   14: required double queue_ms
+  // As the part says of itself, which may differ from the server tried.
+  15: optional string part_backend
 }
 
 struct CancelWire { 1: required string call }
--- a/src/dandelionstage/inner/link.py
+++ b/src/dandelionstage/inner/link.py
@@ -10,7 +10,6 @@
 from anyio.abc import ByteStream
 
 from ..model.ids import VmId
-from ..model.messages import ActionOutcome, SubReply
 from .framing import encode_frame
 from .messages import (
     PROTOCOL_VERSION,
@@ -138,8 +137,7 @@
 
     def _take(self, message: InnerMessage | None) -> None:
         self._heard_ms = self._clock()
-        if isinstance(message, SubReply | ActionOutcome):
-            self._calls.close(message.call)
+        self._calls.note(message)
         if isinstance(message, Hello):
             end = _judge(message, self.peer)
             self.peer = message.vm
--- a/src/dandelionstage/inner/outbox.py
+++ b/src/dandelionstage/inner/outbox.py
@@ -5,7 +5,7 @@
 
 import anyio
 
-from ..model.messages import ActionCall, SubRequest
+from ..model.messages import ActionCall, ActionOutcome, SubReply, SubRequest
 from .messages import Hello, InnerMessage
 
 __all__ = ('CallMessage', 'OpenCalls', 'Outbox')
@@ -59,9 +59,10 @@
         """Wait for the reply to this call."""
         self._calls[call.call] = (call, now_ms)
 
-    def close(self, call: str) -> None:
-        """The reply came; a second one changes nothing."""
-        self._calls.pop(call, None)
+    def note(self, message: InnerMessage | None) -> None:
+        """Close the call that a reply ends; a second one changes nothing."""
+        if isinstance(message, SubReply | ActionOutcome):
+            self._calls.pop(message.call, None)
 
     def waited_ms(self, now_ms: float) -> float:
         """How long the oldest call has waited, 0 when none waits."""
--- a/src/dandelionstage/inner/wire_calls.py
+++ b/src/dandelionstage/inner/wire_calls.py
@@ -147,7 +147,7 @@
 
 
 def _add_part(wire: SubReplyWire, part: Part) -> None:
-    wire.backend = part.backend
+    wire.part_backend = part.backend
     wire.shard = part.shard
     wire.snapshot = part.pin.snapshot
     wire.shard_map_revision = part.pin.shard_map_revision
@@ -159,10 +159,10 @@
 def _decode_part(wire: SubReplyWire) -> Part | None:
     if wire.records is None:
         return None
-    if None in {wire.backend, wire.shard, wire.snapshot}:
+    if None in {wire.part_backend, wire.shard, wire.snapshot}:
         raise ValueError('a part without its origin')
     return Part(
-        backend=BackendId(wire.backend),
+        backend=BackendId(wire.part_backend),
         shard=ShardId(wire.shard),
         pin=Pin(
             SnapshotId(wire.snapshot), Revision(wire.shard_map_revision or 0)
