Pool of connections to one backend server, one task each

Cause: an owner needs to send sub-requests to a backend server and to know of every one whether it may have run.

Ruled out: a shared pool of the HTTP library, which costs several times a single connection object and hides which connection a fault belongs to.

Conclusion: a task owns each connection and takes one exchange at a time. A reply is read in the connection's own task: one that is not to this call retires the connection before anybody else can be given it.

--- /dev/null
+++ b/src/dandelionstage/backend/connection.py
@@ -0,0 +1,94 @@
+"""The task that owns one connection to a backend server."""
+
+from collections.abc import Callable
+from typing import Any, final
+
+from ..model.topology import BackendServer
+from ..model.verdict import Reason
+from .exchange import Exchange, Lost, Reply
+from .inbox import Inbox
+from .limits import ConnectionLimits, now_ms
+from .line import Line, open_line
+
+__all__ = ('Connection',)
+
+
+@final
+class Connection:
+    """One connection, opened for its first exchange and used by turns.
+
+    Only its own task touches the socket; others hand it exchanges.
+
+    :ivar proved_at_ms: when it last proved that it works.
+    :ivar inbox: where the next exchange is put; closed once retired.
+    """
+
+    def __init__(
+        self,
+        server: BackendServer,
+        limits: ConnectionLimits,
+        on_rest: Callable[['Connection'], None],
+    ) -> None:
+        """Prepare a connection; it is opened for its first exchange.
+
+        :param on_rest: called whenever the connection has nothing to do,
+            the last time when it is closed.
+        """
+        self.proved_at_ms = now_ms()
+        self._server = server
+        self._limits = limits
+        self._on_rest = on_rest
+        self._line: Line | None = None
+        self.inbox = Inbox()
+
+    @property
+    def is_usable(self) -> bool:
+        """Whether it may take a next exchange."""
+        if self.inbox.closed or self._line is None:
+            return False
+        return self._line.is_usable
+
+    async def run(self) -> None:
+        """Open, serve exchanges until retired, and close."""
+        try:  # noqa: WPS501 -- the pool must hear of the end, errors pass
+            await self._work()
+        finally:
+            self._end()
+
+    async def _work(self) -> None:
+        exchange = await self.inbox.next()
+        if exchange is None:
+            return
+        line = await open_line(self._server, self._limits, exchange.deadline_ms)
+        if isinstance(line, Lost):
+            exchange.lose(line)
+            return
+        self._line = line
+        async with line:
+            while exchange:
+                transfer = await line.post(exchange)
+                self.inbox.exchange = None
+                if not _settle(exchange, transfer) or not line.is_usable:
+                    return
+                if isinstance(transfer, Reply):
+                    self.proved_at_ms = now_ms()
+                if not self.inbox.closed:
+                    self._on_rest(self)
+                exchange = await self.inbox.next()
+
+    def _end(self) -> None:
+        self.inbox.close()
+        if self.inbox.exchange is not None:
+            # Cancelled in mid-exchange: nobody knows how far it came.
+            self.inbox.exchange.lose(
+                Lost(Reason.CONNECTION_LOST, now_ms(), 'closed'),
+            )
+        self._on_rest(self)
+
+
+def _settle(exchange: Exchange[Any], transfer: Reply | Lost) -> bool:
+    """Pass the end on; ``False`` if the connection cannot be trusted."""
+    if isinstance(transfer, Reply):
+        return exchange.settle(now_ms() - transfer.service_ms, transfer)
+    exchange.lose(transfer)
+    return transfer.sent_at_ms is None
--- /dev/null
+++ b/src/dandelionstage/backend/limits.py
@@ -0,0 +1,32 @@
+"""Times and sizes that bound the connections to one backend server."""
+
+import time
+from dataclasses import dataclass
+from typing import Final, final
+
+__all__ = ('MS', 'ConnectionLimits', 'now_ms')
+
+#: Milliseconds in a second.
+MS: Final = 1000
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class ConnectionLimits:
+    """What a connection may take of time and memory.
+
+    :ivar connect_ms: longest time to open a connection.
+    :ivar idle_ms: an idle connection is closed after this time.
+    :ivar cancel_ms: longest time spent on cancelling a call.
+    :ivar max_reply_bytes: a longer reply is refused.
+    """
+
+    connect_ms: float = 1000
+    idle_ms: float = 15_000
+    cancel_ms: float = 500
+    max_reply_bytes: int = 4 * 1024 * 1024
+
+
+def now_ms() -> float:
+    """Tell the monotonic time, finer than an event loop keeps it."""
+    return time.monotonic() * MS
--- /dev/null
+++ b/src/dandelionstage/backend/requests.py
@@ -0,0 +1,51 @@
+"""Encodes the requests that backend servers are sent."""
+
+import pydantic_core
+
+from ..model.ids import CallId
+from ..model.messages import SubRequest
+
+__all__ = ('encode_action', 'encode_cancel', 'encode_search')
+
+
+def encode_search(sub_request: SubRequest, remaining_ms: float) -> bytes:
+    """Encode a search; the caller's query goes in as it is.
+
+    :param remaining_ms: time left, as the server counts from its receipt.
+    """
+    head = _head(sub_request, remaining_ms) | {
+        'snapshot': sub_request.pin.snapshot,
+        'shard_map_revision': sub_request.pin.shard_map_revision,
+    }
+    return b'%b,"query":%b}' % (
+        pydantic_core.to_json(head)[:-1],
+        sub_request.query_json.encode(),
+    )
+
+
+def encode_action(sub_request: SubRequest, remaining_ms: float) -> bytes:
+    """Encode an action; ``query_json`` is ``{"action_id", "action"}``."""
+    return b'%b,%b' % (
+        pydantic_core.to_json(_head(sub_request, remaining_ms))[:-1],
+        sub_request.query_json.encode()[1:],
+    )
+
+
+def encode_cancel(call: CallId, _remaining_ms: float) -> bytes:
+    """Encode the wish that a call be stopped."""
+    return pydantic_core.to_json({'call': call})
+
+
+def _head(
+    sub_request: SubRequest,
+    remaining_ms: float,
+) -> dict[str, str | int | float]:
+    return {
+        'call': sub_request.call,
+        'request': sub_request.request,
+        'customer': sub_request.customer,
+        'workload': sub_request.owner_key.workload,
+        'shard': sub_request.owner_key.shard,
+        'priority': sub_request.priority.value,
+        'deadline_ms': remaining_ms,
+    }
--- a/tools/standins/backend/listener.py
+++ b/tools/standins/backend/listener.py
@@ -2,21 +2,23 @@
 
 from collections.abc import Iterator
 from contextlib import contextmanager
-from dataclasses import replace
+from dataclasses import dataclass, replace
 from http import HTTPStatus
 from typing import Final, final
 
 import anyio
-from anyio.abc import SocketStream
+from anyio.abc import SocketAttribute, SocketStream, TaskStatus
 
 from ..http import HttpReply, HttpRequest, Sending
 from ..serving import serve_stream, swallow
 from .faults import Faults, Silence
+from .messages import ServerSetup
 from .server import BackendState
 
-__all__ = ('Listener',)
+__all__ = ('Listener', 'Listening', 'listen')
 
 _MS: Final = 1000
+_HOST: Final = '127.0.0.1'
 
 
 @final
@@ -47,11 +49,15 @@
             return HttpReply.of(HTTPStatus.OK, **self._state.witness.describe())
         if request.target != '/control/faults':
             return HttpReply.of(HTTPStatus.NOT_FOUND)
-        self._state.obey(Faults.model_validate_json(request.body))
-        if self._state.faults.silence is not Silence.NONE:
-            self._hush()
+        self.obey(Faults.model_validate_json(request.body))
         return HttpReply.of(HTTPStatus.OK)
 
+    def obey(self, faults: Faults) -> None:
+        """Replace all faults in force; silence falls at once."""
+        self._state.obey(faults)
+        if faults.silence is not Silence.NONE:
+            self._hush()
+
     @contextmanager
     def _standing(self, door: '_Door') -> Iterator[None]:
         connections = self._state.witness.connections
@@ -116,3 +122,31 @@
         if self._silent:
             return replace(reply, sending=Sending.WITHHELD)
         return reply
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class Listening:
+    """A server that takes connections."""
+
+    listener: Listener
+    state: BackendState
+    port: int
+
+
+async def listen(
+    setup: ServerSetup,
+    *,
+    task_status: TaskStatus[Listening],
+) -> None:
+    """Serve one server on loopback until cancelled."""
+    sockets = await anyio.create_tcp_listener(
+        local_host=_HOST,
+        local_port=setup.port,
+    )
+    now_ms = anyio.current_time() * _MS
+    state = BackendState(setup, now_ms + setup.cold_ms)
+    listener = Listener(state)
+    port = sockets.extra(SocketAttribute.local_port)
+    task_status.started(Listening(listener, state, port))
+    await sockets.serve(listener.accept)
--- a/tools/standins/backend/messages.py
+++ b/tools/standins/backend/messages.py
@@ -41,6 +41,7 @@
 class ServerSetup:
     """How one server behaves without faults.
 
+    :ivar port: on loopback, 0 for any that is free.
     :ivar queue: calls that may wait for a slot before some are shed.
     :ivar connect_ms: from accepting a connection to reading from it.
     :ivar cold_ms: how long it refuses calls after its start.
@@ -51,6 +52,7 @@
 
     backend: str
     incarnation: str
+    port: int = 0
     slots: int = 2
     max_connections: int = 50
     queue: int = 16
--- a/tools/standins/backend/running.py
+++ b/tools/standins/backend/running.py
@@ -34,7 +34,7 @@
 
     def __init__(self, slots: int, witness: Witness) -> None:
         """Start with every slot free."""
-        self._slots = anyio.Semaphore(slots)
+        self._slots = anyio.Semaphore(slots, fast_acquire=True)
         self._witness = witness
         self._calls: dict[str, Ending] = {}
 
--- a/tools/standins/backend_server.py
+++ b/tools/standins/backend_server.py
@@ -3,51 +3,33 @@
 import json
 import sys
 import time
-from typing import Annotated, Final
+from typing import Annotated
 
 import anyio
 import typer
-from anyio.abc import SocketAttribute, TaskStatus
 
-from .backend.listener import Listener
+from .backend.listener import listen
 from .backend.messages import ServerSetup
-from .backend.server import BackendState
 
 __all__ = ('main',)
 
-_MS: Final = 1000
-_HOST: Final = '127.0.0.1'
-
 _Many = Annotated[list[str], typer.Option(default_factory=list)]
 _Ports = Annotated[list[int], typer.Option(help='0 picks a free one.')]
 _Names = Annotated[list[str], typer.Option(help='Ids, in port order.')]
 
 
-async def serve(setups: list[ServerSetup], ports: list[int]) -> None:
+async def serve(setups: list[ServerSetup]) -> None:
     """Listen on every port, then say so on one line of standard output."""
+    opened: dict[str, int] = {}
     async with anyio.create_task_group() as tasks:
-        opened: dict[str, int] = {}
-        for setup, port in zip(setups, ports, strict=True):
-            listening = tasks.start(_listen, setup, port)
+        for setup in setups:
             # One after the other: a port that is taken is named at once.
-            opened[setup.backend] = await listening  # noqa: WPS476 -- see above
+            server = await tasks.start(listen, setup)  # noqa: WPS476
+            opened[setup.backend] = server.port
         sys.stdout.write('{0}\n'.format(json.dumps({'ready': opened})))
         sys.stdout.flush()
 
 
-async def _listen(
-    setup: ServerSetup,
-    port: int,
-    *,
-    task_status: TaskStatus[int],
-) -> None:
-    sockets = await anyio.create_tcp_listener(local_host=_HOST, local_port=port)
-    now_ms = anyio.current_time() * _MS
-    listener = Listener(BackendState(setup, now_ms + setup.cold_ms))
-    task_status.started(sockets.extra(SocketAttribute.local_port))
-    await sockets.serve(listener.accept)
-
-
 def _command(  # noqa: WPS211 -- one argument for each option
     port: _Ports,
     backend: _Names,
@@ -71,6 +53,7 @@
     setups = [
         ServerSetup(
             backend=name,
+            port=number,
             incarnation='{0}-{1}'.format(name, time.time_ns()),
             slots=slots,
             max_connections=max_connections,
@@ -82,9 +65,9 @@
             snapshots=tuple(snapshot),
             shards=tuple(shard),
         )
-        for name in backend
+        for name, number in zip(backend, port, strict=True)
     ]
-    anyio.run(serve, setups, port, backend_options={'use_uvloop': True})
+    anyio.run(serve, setups, backend_options={'use_uvloop': True})
 
 
 def main() -> None:
