Cheaper hop: one write for each request, no timers below it

Cause: per sub-request in a closed loop of 20 connections, a profile showed eight cancel scopes and two writes in the client, and half of the stand-in's time in its HTTP parser.

Change: the stream below the HTTP library is our own. It lets the head wait for the body, leaves time to the one scope around the exchange, and looks at the clock once more right before the write, so that a process paused after building a request sends none of it.

--- a/src/dandelionstage/backend/line.py
+++ b/src/dandelionstage/backend/line.py
@@ -6,17 +6,17 @@
 import anyio
 import h11
 import httpcore
+from anyio.abc import SocketStream
 
 from ..model.topology import BackendServer
 from ..model.verdict import Reason
 from .address import Address
 from .exchange import Exchange, Lost, Reply
 from .limits import MS, ConnectionLimits, now_ms
-from .stream import WitnessedStream
+from .stream import GuardedStream
 
 __all__ = ('Line', 'open_line')
 
-_NETWORK: Final = httpcore.AnyIOBackend()
 _FAULTS: Final = (
     httpcore.NetworkError,
     httpcore.ProtocolError,
@@ -33,13 +33,13 @@
     def __init__(
         self,
         server: BackendServer,
-        network: httpcore.AsyncNetworkStream,
+        socket: SocketStream,
         limits: ConnectionLimits,
     ) -> None:
-        """Speak HTTP/1.1 over an open stream."""
+        """Speak HTTP/1.1 over a connected socket."""
         self._address = Address(server.host.encode(), server.port)
         self._max_reply_bytes = limits.max_reply_bytes
-        self._stream = WitnessedStream(network)
+        self._stream = GuardedStream(socket)
         self._http = httpcore.AsyncHTTP11Connection(
             self._address.origin,
             self._stream,
@@ -69,7 +69,7 @@
         started_ms = now_ms()
         if exchange.deadline_ms <= started_ms:
             return Lost(Reason.DEADLINE_EXPIRED)
-        self._stream.written = False
+        self._stream.expect(exchange.deadline_ms)
         body = exchange.encode(started_ms)
         request = self._address.request(exchange.target, body)
         with anyio.CancelScope(deadline=exchange.deadline_ms / MS):
@@ -77,6 +77,8 @@
                 return await self._carry(request, started_ms)
             except _FAULTS as error:
                 return self._lost(Reason.CONNECTION_LOST, started_ms, error)
+            except httpcore.WriteTimeout as error:
+                return self._lost(Reason.DEADLINE_EXPIRED, started_ms, error)
         return self._lost(Reason.DEADLINE_EXPIRED, started_ms, 'no reply')
 
     async def _carry(
@@ -110,13 +112,11 @@
     deadline_ms: float,
 ) -> Line | Lost:
     """Open a connection within its own bound and the deadline."""
-    timeout_ms = min(limits.connect_ms, deadline_ms - now_ms())
-    try:
-        network = await _NETWORK.connect_tcp(
-            server.host,
-            server.port,
-            timeout=max(0, timeout_ms) / MS,
-        )
-    except (httpcore.ConnectError, httpcore.ConnectTimeout) as error:
-        return Lost(Reason.CONNECT_FAILED, detail=str(error))
-    return Line(server, network, limits)
+    connect_by_ms = min(deadline_ms, now_ms() + limits.connect_ms)
+    with anyio.CancelScope(deadline=connect_by_ms / MS):
+        try:
+            socket = await anyio.connect_tcp(server.host, server.port)
+        except OSError as error:
+            return Lost(Reason.CONNECT_FAILED, detail=str(error))
+        return Line(server, socket, limits)
+    return Lost(Reason.CONNECT_FAILED, detail='no connection in time')
--- a/src/dandelionstage/backend/pool.py
+++ b/src/dandelionstage/backend/pool.py
@@ -1,10 +1,11 @@
 """The pool of connections to one backend server."""
 
-from dataclasses import replace
 from functools import partial
 from types import TracebackType
 from typing import Final, Self, final
 
+from returns.result import Failure
+
 from ..model.ids import BackendId, CallId
 from ..model.messages import SubRequest
 from ..model.topology import BackendServer
@@ -74,16 +75,18 @@
         exchange = Exchange(
             _ACT if sub_request.action else _SEARCH,
             partial(encode, sub_request),
-            partial(read_reply, sub_request, self._backend),
+            partial(read_reply, sub_request, self._backend, started_ms),
             deadline_ms,
         )
         end = await self._carrier.carry(exchange)
-        outcome = end.value_or(None) or _give_up(
-            sub_request,
-            self._backend,
-            end.failure(),
-        )
-        return replace(outcome, hop_ms=now_ms() - started_ms)
+        if isinstance(end, Failure):
+            return _give_up(
+                sub_request,
+                self._backend,
+                started_ms,
+                end.failure(),
+            )
+        return end.unwrap()
 
     async def cancel(self, call: CallId) -> None:
         """Ask the server to stop a call, on another connection."""
@@ -107,8 +110,14 @@
 def _give_up(
     sub_request: SubRequest,
     backend: BackendId,
+    started_ms: float,
     lost: Lost,
 ) -> AttemptOutcome:
     run = Run.NOT_RUN if lost.sent_at_ms is None else Run.MAY_HAVE_RUN
     verdict = Verdict(run, lost.reason, detail=lost.detail)
-    return AttemptOutcome(sub_request.call, backend, verdict)
+    return AttemptOutcome(
+        sub_request.call,
+        backend,
+        verdict,
+        hop_ms=now_ms() - started_ms,
+    )
--- a/src/dandelionstage/backend/replies.py
+++ b/src/dandelionstage/backend/replies.py
@@ -12,6 +12,7 @@
 from ..model.verdict import Reason, Run, Verdict
 from ..owner.messages import AttemptOutcome
 from .exchange import Reply
+from .limits import now_ms
 from .parts import part_done, part_found
 from .reply_models import Cancelled, Done, Found, Head, Refusal
 
@@ -36,14 +37,17 @@
 def read_reply(
     sub_request: SubRequest,
     backend: BackendId,
+    started_ms: float,
     reply: Reply,
 ) -> Result[AttemptOutcome, str]:
     """Turn a reply to a sub-request into its outcome.
 
     Fails, with the reason, if it is no reply to this very call.
+
+    :param started_ms: monotonic time at which the attempt began.
     """
     try:
-        return Success(_read(sub_request, backend, reply))
+        return Success(_read(sub_request, backend, started_ms, reply))
     except ValueError as error:
         return Failure(str(error).partition('\n')[0])
 
@@ -59,6 +63,7 @@
 def _read(
     sub_request: SubRequest,
     backend: BackendId,
+    started_ms: float,
     reply: Reply,
 ) -> AttemptOutcome:
     head, verdict, part = _interpret(sub_request, reply)
@@ -75,6 +80,7 @@
         draining=head.draining or verdict.reason is Reason.BACKEND_DRAINING,
         backend_incarnation=head.incarnation,
         service_ms=reply.service_ms,
+        hop_ms=now_ms() - started_ms,
     )
 
 
