Members: liveness of VMs from probes and rumours

Cause: the published list lags, so that owners and readers need a view of their own of who is alive. Ruled out: refuting a suspicion by a higher incarnation as SWIM does, because tickets name the incarnation of a process; rumours carry a count of refutations instead (one more optional field on the wire).

--- a/src/dandelionstage/inner/framing.py
+++ b/src/dandelionstage/inner/framing.py
@@ -10,6 +10,7 @@
 from .generated.ttypes import Envelope
 
 __all__ = (
+    'DECODE_ERRORS',
     'MAX_FRAME_BYTES',
     'BadFrameError',
     'FrameBuffer',
@@ -24,7 +25,7 @@
 _LENGTH_BYTES: Final = 4
 
 #: What the thrift library raises for bytes that are no such struct.
-_DECODE_ERRORS: Final = (
+DECODE_ERRORS: Final = (
     EOFError,
     MemoryError,
     OverflowError,
@@ -101,6 +102,6 @@
     struct: Any = kind()
     try:
         struct.read(_protocols.getProtocol(TMemoryBuffer(payload)))
-    except _DECODE_ERRORS as error:
+    except DECODE_ERRORS as error:
         raise BadFrameError(str(error)) from error
     return cast(_Struct, struct)
--- a/src/dandelionstage/inner/inner.thrift
+++ b/src/dandelionstage/inner/inner.thrift
@@ -125,6 +125,8 @@
   1: required string vm
   2: required i64 incarnation
   3: required i32 state
+  // How often this incarnation has refuted a suspicion.
+  4: optional i32 refutation
 }
 
 struct DigestWire {
--- /dev/null
+++ b/src/dandelionstage/membership/roster.py
@@ -0,0 +1,89 @@
+"""The published VMs and what is believed of each."""
+
+from collections.abc import Mapping
+from typing import Final, Protocol, final
+
+from ..model.ids import DataCentreId, VmId
+from ..model.topology import Presence, Vm
+from .messages import MemberState
+from .ranking import Ranking, VmLists
+from .standing import UNHEARD, Standing
+
+__all__ = ('Placed', 'Roster', 'Vms')
+
+#: Beliefs kept about VMs that the list no longer names.
+_MAX_UNPUBLISHED: Final = 1000
+
+
+class Placed(Protocol):
+    """A published VM and where it stands."""
+
+    @property
+    def vm(self) -> Vm:
+        """The VM as published."""
+
+    @property
+    def data_centre(self) -> DataCentreId:
+        """The data centre it stands in."""
+
+
+#: Every VM that may exist, live or leaving.
+Vms = Mapping[VmId, Placed]
+
+
+@final
+class Roster:
+    """Says who may exist (the published list) and who is thought alive.
+
+    :ivar ranking: the VMs of each data centre, the most trusted first.
+    """
+
+    def __init__(self) -> None:
+        """Know of no VM yet."""
+        self.ranking = Ranking(self._order)
+        self._published: Vms = {}
+        self._lists: VmLists = {}
+        self._standings: dict[VmId, Standing] = {}
+
+    def publish(self, vms: Vms) -> None:
+        """Take the published list, keeping what is believed of its VMs."""
+        lists: dict[DataCentreId, list[VmId]] = {}
+        for vm in sorted(vms):
+            lists.setdefault(vms[vm].data_centre, []).append(vm)
+        self._published = vms
+        self._lists = {
+            data_centre: tuple(members)
+            for data_centre, members in lists.items()
+        }
+        self.ranking.use(self._lists)
+        self._forget_unpublished()
+
+    def published(self) -> VmLists:
+        """List every published VM by data centre, sorted by name."""
+        return self._lists
+
+    def standing_of(self, vm: VmId) -> Standing:
+        """Say what is believed of a VM."""
+        return self._standings.get(vm, UNHEARD)
+
+    def believe(self, vm: VmId, standing: Standing) -> bool:
+        """Take a belief if it is newer; say whether it was.
+
+        A VM that the list does not name is not taken in.
+        """
+        placed = self._published.get(vm)
+        if placed is None or not standing.outranks(self.standing_of(vm)):
+            return False
+        self._standings[vm] = standing
+        self.ranking.forget(placed.data_centre)
+        return True
+
+    def _order(self, vm: VmId) -> int:
+        if self._published[vm].vm.presence is Presence.LEAVING:
+            return MemberState.LEAVING.value
+        return self.standing_of(vm).state.value
+
+    def _forget_unpublished(self) -> None:
+        gone = [vm for vm in self._standings if vm not in self._published]
+        for vm in gone[: max(0, len(gone) - _MAX_UNPUBLISHED)]:
+            self._standings.pop(vm)
--- /dev/null
+++ b/tests/test_members.py
@@ -0,0 +1,175 @@
+"""Members learn of lost, leaving and restarted VMs, and forget nothing."""
+
+from types import MappingProxyType
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from dandelionstage.membership.messages import MemberState, ProbeKind
+from dandelionstage.membership.standing import UNHEARD, Standing
+from dandelionstage.model.ids import DataCentreId, Incarnation, VmId
+from dandelionstage.model.messages import Leaving
+from tests.member_fleet import MemberFleet, publish
+
+_TODAY = MappingProxyType(
+    {'jihlava': 5, 'trebic': 5, 'pelhrimov': 5, 'zdar': 5},
+)
+_HOME = DataCentreId('jihlava')
+_VM = VmId('jihlava-1')
+_SETTLE_MS = 3000
+
+
+@pytest.fixture(params=range(5))
+def fleet(request):
+    members = MemberFleet(_TODAY, seed=request.param)
+    members.network.run(_SETTLE_MS)
+    return members
+
+
+def _states(fleet: MemberFleet) -> set[MemberState]:
+    return {member.state_of(_VM) for member in fleet.others(_VM)}
+
+
+def test_nobody_is_suspected_in_a_healthy_fleet(fleet):
+    fleet.network.lost_fraction = 0.02
+    while fleet.network.now_ms < 30_000:
+        fleet.network.run(1000)
+        for member in fleet.members.values():
+            assert len(member.live(_HOME)) == 5
+
+
+def test_a_lost_vm_is_suspected_in_its_data_centre_within_two_seconds(fleet):
+    fleet.stop(_VM)
+    fleet.network.run(2000)
+    near = fleet.members_in('jihlava')
+    for member in near:
+        assert _VM not in member.live(_HOME)
+        assert member.usable(_HOME)[-1] == _VM
+
+
+def test_a_lost_vm_is_suspected_everywhere_within_five_seconds(fleet):
+    fleet.stop(_VM)
+    fleet.network.run(5000)
+    assert _states(fleet) == {MemberState.SUSPECTED}
+
+
+def test_a_vm_that_was_frozen_is_trusted_again_soon(fleet):
+    fleet.frozen.add(_VM)
+    fleet.network.run(10_000)
+    assert _states(fleet) == {MemberState.SUSPECTED}
+    fleet.frozen.clear()
+    fleet.network.run(3000)
+    assert _states(fleet) == {MemberState.ALIVE}
+
+
+def test_a_late_waker_suspects_nobody(fleet):
+    fleet.frozen.add(_VM)
+    fleet.network.run(10_000)
+    fleet.frozen.clear()
+    waker = fleet.members[_VM]
+    while fleet.network.now_ms < 14_000:
+        fleet.network.run(50)
+        assert len(waker.live(_HOME)) >= 4
+
+
+def test_leaving_is_final_until_a_new_incarnation(fleet):
+    fleet.members[_VM].note_leaving(Leaving(_VM, Incarnation(1)))
+    fleet.network.run(5000)
+    assert _states(fleet) == {MemberState.LEAVING}
+    for member in fleet.members.values():
+        member.publish(publish(_TODAY))
+    fleet.network.run(5000)
+    assert _states(fleet) == {MemberState.LEAVING}
+    fleet.start(_VM, 2)
+    fleet.network.run(5000)
+    assert _states(fleet) == {MemberState.ALIVE}
+    late_hearer = fleet.members[VmId('zdar-0')]
+    late_hearer.note_leaving(Leaving(_VM, Incarnation(1)))
+    fleet.network.run(5000)
+    assert _states(fleet) == {MemberState.ALIVE}
+
+
+def test_a_cut_data_centre_is_trusted_again_after_healing(fleet):
+    inside = fleet.members[_VM]
+    outside = fleet.members[VmId('zdar-0')]
+    fleet.network.cut(fleet.names_in('jihlava'))
+    fleet.network.run(60_000)
+    assert len(inside.live(_HOME)) == 5
+    assert not outside.live(_HOME)
+    fleet.network.cut()
+    fleet.network.run(30_000)
+    for member in fleet.members.values():
+        assert len(member.live(_HOME)) == 5
+
+
+def test_a_vm_reached_by_others_is_not_suspected(fleet):
+    """A broken way between two VMs alone is bridged by the others."""
+    pair = frozenset((_VM, VmId('jihlava-2')))
+    fleet.network.broken_pairs.add(pair)
+    while fleet.network.now_ms < 20_000:
+        fleet.network.run(1000)
+        assert _states(fleet) == {MemberState.ALIVE}
+
+
+def test_a_vm_that_is_not_published_is_not_taken_in(fleet):
+    published = publish(_TODAY)
+    published.pop(_VM)
+    for member in fleet.members.values():
+        member.publish(published)
+    fleet.start(_VM, 2)
+    fleet.network.run(5000)
+    for member in fleet.others(_VM):
+        assert _VM not in member.usable(_HOME)
+        assert member.incarnation_of(_VM) == 1
+
+
+def test_a_pause_after_a_lost_answer_makes_nobody_suspected():
+    """The wait for the others' answer ran out while the process slept."""
+    fleet = MemberFleet({'plovdiv-a': 3})
+    member = fleet.members[VmId('plovdiv-a-0')]
+    asked = [send.probe.kind for send in member.tick(500)]
+    assert ProbeKind.PING_REQUEST in asked
+    member.tick(60_000)
+    assert len(member.live(DataCentreId('plovdiv-a'))) == 3
+
+
+_STANDINGS = st.builds(
+    Standing,
+    st.integers(0, 2).map(Incarnation),
+    st.sampled_from(MemberState),
+    st.integers(0, 2),
+)
+
+
+@given(st.lists(_STANDINGS, min_size=1), st.randoms(use_true_random=False))
+def test_beliefs_come_out_the_same_in_any_order(heard, random):
+    shuffled = heard.copy()
+    random.shuffle(shuffled)
+    first, second = _settle(heard), _settle(shuffled)
+    assert first.incarnation == second.incarnation
+    assert first.state is second.state
+
+
+@given(st.lists(_STANDINGS))
+def test_leaving_never_reverts_within_an_incarnation(heard):
+    leaving = Standing(Incarnation(1), MemberState.LEAVING)
+    settled = _settle([leaving, *heard])
+    if settled.incarnation == 1:
+        assert settled.state is MemberState.LEAVING
+
+
+def _settle(heard: list[Standing]) -> Standing:
+    current = UNHEARD
+    for standing in heard:
+        current = standing if standing.outranks(current) else current
+    return current
+
+
+def test_cost_per_vm_does_not_grow_with_the_fleet():
+    sent = []
+    for size in (2, 8, 32):
+        fleet = MemberFleet({'plovdiv-a': size, 'plovdiv-b': size})
+        fleet.network.run(10_000)
+        sent.append(fleet.sent / size)
+    assert sent[2] < sent[0] * 1.2
