--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -2,7 +2,7 @@
 
 from functools import partial
 from itertools import chain
-from pathlib import Path
+from typing import Any
 
 import pytest
 
@@ -25,8 +25,8 @@
 )
 
 
-def bodies(scenario: Scenario, layout: Layout) -> dict[str, object]:
-    parsed = {}
+def bodies(scenario: Scenario, layout: Layout) -> dict[str, Any]:
+    parsed: dict[str, Any] = {}
     for key, body in documents(scenario, layout):
         encoded = body.model_dump_json().encode()
         document = published_documents.Document(key, 1, encoded)
