Query: silent owners, stragglers only, pauses, restarts that lose nothing

Cause: a hedge to the same silent owner never returns; hedges while most shards are open add load where load is at fault; a moved shard would be pinned again by the next query; a restart near the deadline could turn a large partial answer into a refusal. Ruled out: acknowledgements from owners; any reply heard since the send says as much and costs no message. Conclusion: owners that stay silent are left out for a second, hedges wait until a tenth of the shards is open, gathers of different pins stay apart and the larger is answered; a query that can no longer reach its minimum coverage ends at once.

--- a/src/dandelionstage/query/attempts.py
+++ b/src/dandelionstage/query/attempts.py
@@ -9,7 +9,7 @@
 from ..retries.moves import Move, is_free, move_after
 from .dispatch import Dispatch
 from .messages import Query, QueryCommand
-from .picking import pick_hedge, pick_next, pick_retry
+from .picking import is_owner_silent, pick_hedge, pick_next, pick_retry
 from .shard import Attempt, ShardProgress, Shards
 from .tools import QueryTools, Tally
 
@@ -46,23 +46,12 @@
 
     def begin(self, progress: ShardProgress, now_ms: float) -> _Commands:
         """Make the first attempt."""
-        target = pick_next(self._query, progress, self._tools)
+        target = pick_next(self._query, progress, self._tools, now_ms)
         if target is None:
             self._give_up(progress, Reason.NO_REPLICA)
         else:
             yield self._dispatch.send(progress, target, now_ms)
 
-    def settle(self, attempt: Attempt, now_ms: float) -> _Commands:
-        """Cancel the attempts that lost to this one."""
-        self._tools.delays.observe(
-            self._query.workload,
-            attempt.shard,
-            now_ms - attempt.sent_ms,
-        )
-        progress = self._shards[attempt.shard]
-        self._shards.close(progress)
-        yield from self._dispatch.cancel(progress.out.values())
-
     def move_on(
         self,
         attempt: Attempt,
@@ -74,12 +63,10 @@
         progress = self._shards[attempt.shard]
         move = move_after(verdict.reason)
         news = progress.rule_out(move, attempt, reply)
-        if progress.all_gone:
-            self._shards.pin_gone = True
         if move is Move.GIVE_UP or progress.all_gone:
             self._give_up(progress, verdict.reason)
             return
-        target = pick_next(self._query, progress, self._tools)
+        target = pick_next(self._query, progress, self._tools, now_ms)
         if target and news and _is_free(verdict) and not progress.out:
             self._tally.events[verdict.reason] += 1
             yield self._dispatch.send(progress, target, now_ms)
@@ -87,19 +74,32 @@
             self._plan_retry(progress, verdict, now_ms)
 
     def add(self, progress: ShardProgress, now_ms: float) -> _Commands:
-        """Make the hedge or the retry that is due."""
+        """Make the hedge or the retry that is due, if it is worth it."""
+        if progress.out and not self._is_straggler(progress):
+            self._dispatch.plan_hedge(progress, now_ms)
+            return
         pick = pick_hedge if progress.out else pick_retry
-        target = pick(self._query, progress, self._tools)
-        budget = self._tools.budgets.of(self._query.contract)
+        target = pick(self._query, progress, self._tools, now_ms)
         if target is None:
             self._give_up(progress, Reason.NO_REPLICA)
-        elif budget.take():
+        elif self._tools.budgets.of(self._query.contract).take():
             self._tally.events[Reason.HEDGED] += bool(progress.out)
             yield self._dispatch.send(progress, target, now_ms)
         else:
             self._tally.events[Reason.RETRY_BUDGET_EMPTY] += 1
+            self._dispatch.plan_hedge(progress, now_ms)
             self._give_up(progress, Reason.RETRY_BUDGET_EMPTY)
 
+    def _is_straggler(self, progress: ShardProgress) -> bool:
+        """Whether a hedge helps: the others are in, or the owner is lost.
+
+        While many shards are open the load is at fault, not a replica, and
+        hedges would add to it.
+        """
+        if is_owner_silent(progress, self._tools):
+            return True
+        return self._shards.few_open
+
     def _plan_retry(
         self,
         progress: ShardProgress,
@@ -121,7 +121,7 @@
     def _give_up(self, progress: ShardProgress, reason: Reason) -> None:
         if not progress.out:
             self._tally.last_refusal = reason
-            self._shards.close(progress)
+            self._shards.lose(progress)
 
 
 def _is_free(verdict: Verdict) -> bool:
--- a/src/dandelionstage/query/dispatch.py
+++ b/src/dandelionstage/query/dispatch.py
@@ -55,7 +55,8 @@
         progress.out[attempt.call] = attempt
         progress.attempts += 1
         self._tally.sent += 1
-        self._plan_hedge(progress, now_ms)
+        self._tools.owners.ask(target.vm, now_ms)
+        self.plan_hedge(progress, now_ms)
         return SendSubRequest(target.vm, self._write(attempt, hedge=hedge))
 
     def end(self, call: CallId) -> Attempt | None:
@@ -73,7 +74,8 @@
         """Give up every attempt that is out."""
         return self.cancel(tuple(self._out.values()))
 
-    def _plan_hedge(self, progress: ShardProgress, now_ms: float) -> None:
+    def plan_hedge(self, progress: ShardProgress, now_ms: float) -> None:
+        """Set the time to hedge what is out, later with each attempt."""
         out = len(progress.out)
         if out < _MAX_OUT:
             delay_ms = self._tools.delays.delay_ms(
--- a/src/dandelionstage/query/execution.py
+++ b/src/dandelionstage/query/execution.py
@@ -6,6 +6,7 @@
 from ..model.messages import SubReply
 from ..model.verdict import Reason
 from .answer import make_answer, make_refusal
+from .gather import Gather
 from .messages import Finish, Query, QueryCommand
 from .pins import Pins
 from .scatter import Scatter
@@ -20,6 +21,9 @@
 class QueryExecution:
     """One query: pin, scatter, gather, answer.
 
+    When the pin is gone the query starts again under another one.  Gathers
+    of different pins are never joined: the one that covers most is answered.
+
     Each method returns what to do next; ``Finish`` comes exactly once and
     is the last.
 
@@ -34,6 +38,7 @@
         self._tally = Tally()
         self._pins = Pins(query, tools)
         self._scatter: Scatter | None = None
+        self._given_up: list[Gather] = []
 
     def start(self, now_ms: float) -> tuple[QueryCommand, ...]:
         """Pin a snapshot and send the first sub-requests."""
@@ -76,7 +81,7 @@
         """Return when to call ``wake``, ``None`` once finished."""
         if self._scatter is None or self.finished:
             return None
-        return min(self._query.deadline_ms, self._scatter.next_wakeup_ms())
+        return min(self._query.deadline_ms, self._scatter.timers.next_ms())
 
     def _step(
         self,
@@ -92,10 +97,14 @@
             commands.extend(act(scatter))
             if scatter.shards.pin_gone:
                 scatter = self._restart(scatter, now_ms, commands)
-        if expired or not scatter.shards.open:
+        if expired or _is_over(self._query, scatter):
             self.finished = True
             commands.extend(scatter.cancel())
-            answer = make_answer(self._query, scatter.gather, self._tally)
+            gather = max(
+                (scatter.gather, *self._given_up),
+                key=Gather.fraction,
+            )
+            answer = make_answer(self._query, gather, self._tally)
             commands.append(Finish(answer))
         return tuple(commands)
 
@@ -110,6 +119,7 @@
         if snapshot is None:
             return gone
         commands.extend(gone.cancel())
+        self._given_up.append(gone.gather)
         scatter = Scatter(self._query, snapshot, self._tools, self._tally)
         self._scatter = scatter
         sent = self._tally.sent
@@ -117,3 +127,10 @@
         budget = self._tools.budgets.of(self._query.contract)
         budget.charge(self._tally.sent - sent)
         return scatter
+
+
+def _is_over(query: Query, scatter: Scatter) -> bool:
+    """Whether waiting on cannot bring an answer that is worth more."""
+    least = query.contract.minimum_coverage
+    shards = scatter.shards
+    return not shards.open or shards.reachable_fraction < least
--- a/src/dandelionstage/query/gather.py
+++ b/src/dandelionstage/query/gather.py
@@ -42,9 +42,9 @@
             self._parts[shard] = part
         return fault
 
-    def has(self, shard: ShardId) -> bool:
-        """Whether the shard's part was merged."""
-        return shard in self._parts
+    def fraction(self) -> float:
+        """Return the share of the pinned shard map merged, 0 to 1."""
+        return len(self._parts) / len(self._snapshot.shards)
 
     def coverage(self) -> Coverage:
         """State which shards of the pinned shard map are merged."""
--- a/src/dandelionstage/query/held.py
+++ b/src/dandelionstage/query/held.py
@@ -1,15 +1,18 @@
-"""Remembers which backend server holds which snapshots."""
+"""Remembers which backend server holds which snapshots and shards."""
 
 from collections.abc import Iterable
 from dataclasses import dataclass
 from typing import Final, final
 
-from ..model.ids import BackendId, SnapshotId
+from ..model.ids import BackendId, ShardId, SnapshotId
+from ..model.messages import Pin
 
 __all__ = ('HeldSnapshots',)
 
 #: After this long without word of it a backend server may hold anything.
 _FRESH_MS: Final = 30_000
+#: How long a shard that was moved away is taken to be still away.
+_MOVED_MS: Final = 5000
 
 
 @final
@@ -30,6 +33,7 @@
     def __init__(self) -> None:
         """Start knowing nothing."""
         self._backends: dict[BackendId, _Held] = {}
+        self._moved_ms: dict[tuple[BackendId, ShardId, Pin], float] = {}
 
     def learn(
         self,
@@ -40,14 +44,33 @@
         """Take a backend server's latest word."""
         self._backends[backend] = _Held(frozenset(snapshots), now_ms)
 
+    def note_moved(
+        self,
+        backend: BackendId,
+        shard: ShardId,
+        pin: Pin,
+        now_ms: float,
+    ) -> None:
+        """Note that a backend server does not hold a shard under a pin."""
+        self._moved_ms = {
+            key: moved_ms
+            for key, moved_ms in self._moved_ms.items()
+            if now_ms - moved_ms <= _MOVED_MS
+        }
+        self._moved_ms[backend, shard, pin] = now_ms
+
     def holds(
         self,
         backend: BackendId,
-        snapshot: SnapshotId,
+        shard: ShardId,
+        pin: Pin,
         now_ms: float,
     ) -> bool | None:
-        """Say whether it holds the snapshot, ``None`` when not known."""
+        """Say whether it holds a shard of a pin, ``None`` if not known."""
+        moved_ms = self._moved_ms.get((backend, shard, pin))
+        if moved_ms is not None and now_ms - moved_ms <= _MOVED_MS:
+            return False
         held = self._backends.get(backend)
         if held is None or now_ms - held.heard_ms > _FRESH_MS:
             return None
-        return snapshot in held.snapshots
+        return pin.snapshot in held.snapshots
--- /dev/null
+++ b/src/dandelionstage/query/lessons.py
@@ -0,0 +1,28 @@
+"""What a reply teaches beyond its own query."""
+
+from ..model.messages import Pin, SubReply
+from ..model.verdict import Reason
+from .shard import Attempt
+from .tools import QueryTools
+
+__all__ = ('learn_from',)
+
+
+def learn_from(
+    reply: SubReply,
+    attempt: Attempt,
+    pin: Pin,
+    tools: QueryTools,
+    now_ms: float,
+) -> None:
+    """Keep what a reply says of its owner and its backend server."""
+    reason = reply.verdict.reason
+    if reason is not Reason.PEER_UNREACHABLE:
+        tools.owners.hear(attempt.target.vm, now_ms)
+    backend = reply.backend
+    if backend is None:
+        return
+    if reply.held_snapshots or reason is Reason.SNAPSHOT_GONE:
+        tools.held.learn(backend, reply.held_snapshots, now_ms)
+    if reason is Reason.SHARD_MOVED:
+        tools.held.note_moved(backend, attempt.shard, pin, now_ms)
--- a/src/dandelionstage/query/picking.py
+++ b/src/dandelionstage/query/picking.py
@@ -1,38 +1,56 @@
 """Picks the owner for the next attempt at a shard."""
 
+from typing import Final
+
 from ..routing.targets import Target
 from .messages import Query
 from .shard import ShardProgress
 from .tools import QueryTools
 
-__all__ = ('pick_hedge', 'pick_next', 'pick_retry')
+__all__ = ('is_owner_silent', 'pick_hedge', 'pick_next', 'pick_retry')
+
+#: An owner may take this many times longer than most shards, and at least
+#: the least patience, before it counts as silent.
+_PATIENCE_FACTOR: Final = 4
+_LEAST_PATIENCE_MS: Final = 100
 
 
 def pick_next(
     query: Query,
     progress: ShardProgress,
     tools: QueryTools,
+    now_ms: float,
 ) -> Target | None:
-    """Pick the best owner that nothing speaks against."""
+    """Pick the best owner that nothing speaks against.
+
+    An owner that looks silent is taken only if there is no other.
+    """
     targets = tools.route(
         query.workload,
         progress.shard,
         progress.replicas,
         progress.avoid,
     )
-    return progress.pick(targets)
+    typical_ms = tools.delays.typical_ms(query.workload)
+    patience_ms = max(_LEAST_PATIENCE_MS, typical_ms * _PATIENCE_FACTOR)
+    clear = progress.keep_clear(targets)
+    for target in clear:
+        if not tools.owners.is_silent(target.vm, now_ms, patience_ms):
+            return target
+    return next(iter(clear), None)
 
 
 def pick_retry(
     query: Query,
     progress: ShardProgress,
     tools: QueryTools,
+    now_ms: float,
 ) -> Target | None:
     """Pick an owner even if something spoke against each of them."""
-    target = pick_next(query, progress, tools)
+    target = pick_next(query, progress, tools, now_ms)
     if target is None:
         progress.forgive()
-        target = pick_next(query, progress, tools)
+        target = pick_next(query, progress, tools, now_ms)
     return target
 
 
@@ -40,16 +58,22 @@
     query: Query,
     progress: ShardProgress,
     tools: QueryTools,
+    now_ms: float,
 ) -> Target | None:
     """Pick by whom another replica is to be asked.
 
     An owner that is alive knows which replica holds up its first attempt
     and picks another one; a silent owner is left out.
     """
-    first = next(iter(progress.out.values()))
-    vm = first.target.vm
-    if not tools.owners.heard_since(vm, first.sent_ms):
-        progress.shun(vm)
+    first = progress.first_out()
+    if is_owner_silent(progress, tools):
+        progress.shun(first.target.vm)
     elif len(first.target.replicas) == 1:
         progress.avoid |= frozenset(first.target.replicas)
-    return pick_next(query, progress, tools)
+    return pick_next(query, progress, tools, now_ms)
+
+
+def is_owner_silent(progress: ShardProgress, tools: QueryTools) -> bool:
+    """Whether the owner said nothing since the oldest attempt out."""
+    first = progress.first_out()
+    return not tools.owners.heard_since(first.target.vm, first.sent_ms)
--- a/src/dandelionstage/query/pinning.py
+++ b/src/dandelionstage/query/pinning.py
@@ -3,7 +3,6 @@
 from collections.abc import Collection
 from typing import Final
 
-from ..model.ids import BackendId
 from ..model.messages import Pin
 from ..model.topology import Snapshot, Workload
 from .held import HeldSnapshots
@@ -47,21 +46,10 @@
 
 
 def _rank(snapshot: Snapshot, held: HeldSnapshots, now_ms: float) -> int:
-    return min(
-        _rank_shard(snapshot, replicas, held, now_ms)
-        for replicas in snapshot.shards.values()
-    )
-
-
-def _rank_shard(
-    snapshot: Snapshot,
-    replicas: tuple[BackendId, ...],
-    held: HeldSnapshots,
-    now_ms: float,
-) -> int:
-    said = {
-        held.holds(replica, snapshot.snapshot, now_ms) for replica in replicas
-    }
-    if True in said:
-        return _HELD
-    return _UNKNOWN if None in said else _LACKING
+    pin = pin_of(snapshot)
+    worst = _HELD
+    for shard, replicas in snapshot.shards.items():
+        said = {held.holds(replica, shard, pin, now_ms) for replica in replicas}
+        if True not in said:
+            worst = min(worst, _UNKNOWN if None in said else _LACKING)
+    return worst
--- a/src/dandelionstage/query/scatter.py
+++ b/src/dandelionstage/query/scatter.py
@@ -1,7 +1,7 @@
 """One scatter and gather under one pin."""
 
 from collections.abc import Iterator
-from typing import final
+from typing import Final, final
 
 from ..model.messages import SubReply
 from ..model.topology import Snapshot
@@ -9,12 +9,17 @@
 from .attempts import Attempts
 from .dispatch import Dispatch
 from .gather import Gather
+from .lessons import learn_from
 from .messages import Query, QueryCommand
 from .shard import Attempt, Shards
 from .tools import QueryTools, Tally
 
 __all__ = ('Scatter',)
 
+#: A timer this late means that the process was paused.
+_PAUSE_MS: Final = 100
+_AFTER_PAUSE_MS: Final = 5
+
 _Commands = Iterator[QueryCommand]
 
 
@@ -27,6 +32,7 @@
 
     :ivar gather: the parts merged so far.
     :ivar shards: what is still open.
+    :ivar timers: when the next hedges and retries are due.
     """
 
     def __init__(
@@ -41,7 +47,9 @@
         self.shards = Shards(snapshot)
         self._tools = tools
         self._tally = tally
+        self._workload = query.workload
         self._dispatch = Dispatch(query, self.gather.pin, tools, tally)
+        self.timers = self._dispatch.timers
         self._attempts = Attempts(
             query,
             self.shards,
@@ -61,23 +69,27 @@
         if attempt is None:
             self._tally.events[Reason.BAD_REPLY] += 1
             return
-        self._tools.learn(reply, now_ms)
+        learn_from(reply, attempt, self.gather.pin, self._tools, now_ms)
         self.shards[attempt.shard].out.pop(attempt.call)
         verdict = self._merge(attempt, reply)
         self._tally.add(verdict)
         if verdict.reason is Reason.OK:
-            yield from self._attempts.settle(attempt, now_ms)
+            yield from self._settle(attempt, now_ms)
         else:
             yield from self._attempts.move_on(attempt, reply, verdict, now_ms)
 
     def wake(self, now_ms: float) -> _Commands:
-        """Send the hedges and retries that are due."""
-        for progress in self._dispatch.timers.pop_due(now_ms):
-            yield from self._attempts.add(progress, now_ms)
+        """Send the hedges and retries that are due.
 
-    def next_wakeup_ms(self) -> float:
-        """Return when the next hedge or retry is due, else infinity."""
-        return self._dispatch.timers.next_ms()
+        After a pause of the process the replies may be waiting unread, so
+        nothing is started before they had time to be taken in.
+        """
+        paused = now_ms - self.timers.next_ms() > _PAUSE_MS
+        for progress in self.timers.pop_due(now_ms):
+            if paused:
+                self.timers.plan(progress, now_ms + _AFTER_PAUSE_MS)
+            else:
+                yield from self._attempts.add(progress, now_ms)
 
     def cancel(self) -> _Commands:
         """Give up every attempt that is out."""
@@ -92,3 +104,14 @@
         if fault is not Reason.OK:
             self._tally.events[fault] += 1
         return Verdict(reply.verdict.run, fault)
+
+    def _settle(self, attempt: Attempt, now_ms: float) -> _Commands:
+        """Cancel the attempts that lost to this one."""
+        self._tools.delays.observe(
+            self._workload,
+            attempt.shard,
+            now_ms - attempt.sent_ms,
+        )
+        progress = self.shards[attempt.shard]
+        self.shards.close(progress)
+        yield from self._dispatch.cancel(progress.out.values())
--- a/src/dandelionstage/query/shard.py
+++ b/src/dandelionstage/query/shard.py
@@ -3,7 +3,7 @@
 import math
 from collections.abc import Iterator
 from dataclasses import dataclass
-from typing import TypeVar, final
+from typing import Final, TypeVar, final
 
 from ..model.ids import BackendId, CallId, DataCentreId, ShardId, VmId
 from ..model.messages import SubReply
@@ -13,6 +13,9 @@
 
 __all__ = ('Attempt', 'ShardProgress', 'Shards')
 
+#: Share of the shards that counts as few.
+_FEW_FRACTION: Final = 0.1
+
 _Item = TypeVar('_Item')
 
 
@@ -34,6 +37,8 @@
     :ivar due_ms: when the next attempt is due: a hedge while one is out,
         else a retry; infinite when none is planned.
     :ivar open: whether a part may still come.
+    :ivar avoid: replicas that refused or failed.
+    :ivar gone: those of them that lack the shard in the pinned snapshot.
     """
 
     def __init__(
@@ -49,14 +54,14 @@
         self.attempts = 0
         self.open = True
         self.avoid: frozenset[BackendId] = frozenset()
-        self._gone: frozenset[BackendId] = frozenset()
+        self.gone: frozenset[BackendId] = frozenset()
         self._shunned: set[VmId] = set()
         self._busy: set[DataCentreId] = set()
 
     @property
     def all_gone(self) -> bool:
         """Whether no replica holds the shard in the pinned snapshot."""
-        return self._gone.issuperset(self.replicas)
+        return self.gone.issuperset(self.replicas)
 
     def rule_out(self, move: Move, attempt: Attempt, reply: SubReply) -> bool:
         """Remember what not to try again; whether that was news."""
@@ -64,10 +69,10 @@
             return self.shun(attempt.target.vm)
         blamed = _blame(attempt, reply)
         if move is Move.GONE:
-            before = self._gone
-            self._gone = before | blamed
+            before = self.gone
+            self.gone = before | blamed
             self.avoid |= blamed
-            return before != self._gone
+            return before != self.gone
         if move is Move.NEXT_REPLICA and reply.backend:
             known = self.avoid.issuperset(blamed)
             self.avoid |= blamed
@@ -78,23 +83,24 @@
         """Try other owners first from now on; whether that was news."""
         return _add(self._shunned, vm)
 
-    def pick(self, targets: tuple[Target, ...]) -> Target | None:
-        """Choose the best target that nothing speaks against."""
-        for target in targets:
-            if self._is_clear(target):
-                return target
-        return None
+    def keep_clear(self, targets: tuple[Target, ...]) -> tuple[Target, ...]:
+        """Leave out the targets that something speaks against."""
+        return tuple(
+            target
+            for target in targets
+            if target.vm not in self._shunned
+            and target.owner_key.data_centre not in self._busy
+        )
+
+    def first_out(self) -> Attempt:
+        """Return the oldest attempt that is out; there must be one."""
+        return next(iter(self.out.values()))
 
     def forgive(self) -> None:
         """Allow everything again but replicas that lack the pin."""
         self._shunned.clear()
         self._busy.clear()
-        self.avoid = self._gone
-
-    def _is_clear(self, target: Target) -> bool:
-        if target.vm in self._shunned:
-            return False
-        return target.owner_key.data_centre not in self._busy
+        self.avoid = self.gone
 
 
 @final
@@ -102,7 +108,8 @@
     """The shards of one pinned snapshot.
 
     :ivar open: how many may still bring a part.
-    :ivar pin_gone: whether one has no replica left that holds the pin.
+    :ivar lost: how many will not bring one.
+    :ivar pin_gone: whether one was lost because replicas lack the pin.
     """
 
     def __init__(self, snapshot: Snapshot) -> None:
@@ -112,6 +119,7 @@
             for shard, replicas in snapshot.shards.items()
         }
         self.open = len(self._shards)
+        self.lost = 0
         self.pin_gone = False
 
     def __iter__(self) -> Iterator[ShardProgress]:
@@ -123,10 +131,27 @@
         return self._shards[shard]
 
     def close(self, progress: ShardProgress) -> None:
-        """Expect no part of this shard any more."""
+        """Expect nothing more of this shard."""
         progress.open = False
         self.open -= 1
 
+    def lose(self, progress: ShardProgress) -> None:
+        """Do without this shard's part."""
+        self.close(progress)
+        self.lost += 1
+        self.pin_gone = self.pin_gone or bool(progress.gone)
+
+    @property
+    def few_open(self) -> bool:
+        """Whether most shards are settled."""
+        return self.open <= max(1, len(self._shards) * _FEW_FRACTION)
+
+    @property
+    def reachable_fraction(self) -> float:
+        """Return the coverage still possible, 0 to 1."""
+        total = len(self._shards)
+        return (total - self.lost) / total
+
 
 def _blame(attempt: Attempt, reply: SubReply) -> frozenset[BackendId]:
     if reply.backend is None:
--- a/src/dandelionstage/query/tools.py
+++ b/src/dandelionstage/query/tools.py
@@ -7,7 +7,6 @@
 from typing import final
 
 from ..model.ids import CallId, WorkloadId
-from ..model.messages import SubReply
 from ..model.topology import Workload
 from ..model.verdict import Reason, Run, Verdict, combine
 from ..retries.budget import RetryBudgets
@@ -39,13 +38,6 @@
     delays: HedgeDelays = field(default_factory=HedgeDelays)
     owners: OwnerSigns = field(default_factory=OwnerSigns)
 
-    def learn(self, reply: SubReply, now_ms: float) -> None:
-        """Keep what a reply says of its owner and its backend server."""
-        if reply.verdict.reason is not Reason.PEER_UNREACHABLE:
-            self.owners.hear(reply.answered_by, now_ms)
-        if reply.backend is not None and reply.held_snapshots:
-            self.held.learn(reply.backend, reply.held_snapshots, now_ms)
-
 
 @final
 class Tally:
--- a/src/dandelionstage/retries/signs.py
+++ b/src/dandelionstage/retries/signs.py
@@ -1,29 +1,50 @@
-"""Remembers when each owner was last heard."""
+"""Tells owners that are silent from owners that are slow."""
 
-from typing import final
+from typing import Final, final
 
 from ..model.ids import VmId
 
 __all__ = ('OwnerSigns',)
 
+#: A silent owner is left out for this long, then tried again.
+_LEFT_OUT_MS: Final = 1000
+
 
 @final
 class OwnerSigns:
-    """The last reply of each owner, over all queries of this daemon.
+    """What was asked of and heard from each owner, over all queries.
 
     An owner heard since an attempt was sent is alive, so a slow attempt is
-    the backend server's doing and the owner itself can pick another one.
+    the backend server's doing.  This notices a lost owner within a few answer
+    times, sooner than the probes between daemons.
     """
 
     def __init__(self) -> None:
         """Start with no owner heard."""
         self._heard_ms: dict[VmId, float] = {}
+        self._waiting_ms: dict[VmId, float] = {}
+
+    def ask(self, vm: VmId, now_ms: float) -> None:
+        """Note that an attempt is sent."""
+        self._waiting_ms.setdefault(vm, now_ms)
 
     def hear(self, vm: VmId, now_ms: float) -> None:
         """Note a reply."""
         self._heard_ms[vm] = now_ms
+        self._waiting_ms.pop(vm, None)
 
     def heard_since(self, vm: VmId, sent_ms: float) -> bool:
         """Whether the owner replied to anything after this time."""
         heard_ms = self._heard_ms.get(vm)
         return heard_ms is not None and heard_ms > sent_ms
+
+    def is_silent(self, vm: VmId, now_ms: float, patience_ms: float) -> bool:
+        """Whether attempts at the owner have waited longer than that."""
+        waiting_ms = self._waiting_ms.get(vm)
+        if waiting_ms is None:
+            return False
+        silent_ms = now_ms - waiting_ms
+        if silent_ms > patience_ms + _LEFT_OUT_MS:
+            self._waiting_ms.pop(vm)
+            return False
+        return silent_ms > patience_ms
