Owner: queue, slots, replica choice and health of backend servers

Cause: the slots of a server can be scheduled only where all its work meets, so one VM queues it by priority and deadline and starts it. Ruled out: one queue per server, as work that may run on either replica would have to pick one before it knows which is free first; so work with the same replicas shares a queue. Ejecting for silence, as only a failing new connection shows that the server is at fault. Conclusion: decisions only; shares of a server among VMs come next, until then a VM takes itself for the only owner.

--- /dev/null
+++ b/src/dandelionstage/owner/backends.py
@@ -0,0 +1,120 @@
+"""The backend servers an owner may use."""
+
+from collections.abc import Callable, Mapping, Sequence
+from typing import final
+
+from returns.result import Failure, Result, Success
+
+from ..configuration.topology import Topology
+from ..model.ids import BackendId, DataCentreId
+from ..model.topology import BackendServer
+from ..model.verdict import Reason, Verdict, not_run
+from ..routing.ejection import ejections_allowed
+from ..routing.health import Fitness
+from .backend_state import BackendState
+
+__all__ = ('Backends', 'Replicas', 'SlotShare')
+
+Replicas = tuple[BackendId, ...]
+
+#: Says how many slots of a server this VM may use at a time.
+SlotShare = Callable[[BackendId, float], int]
+
+
+@final
+class Backends:
+    """Knows the backend servers of one data centre.
+
+    A server that is no longer published gets no new work; it is forgotten
+    once its last attempt has ended and its lanes are gone.
+
+    :ivar states: what is known of each server that has or may have work.
+    """
+
+    def __init__(self, data_centre: DataCentreId, share: SlotShare) -> None:
+        """Start without any server."""
+        self._data_centre = data_centre
+        self._share = share
+        self.states: dict[BackendId, BackendState] = {}
+        self._published: frozenset[BackendId] = frozenset()
+
+    def use_topology(self, topology: Topology) -> None:
+        """Follow the published servers of this data centre.
+
+        A server published as leaving drains, whatever comes later.
+        """
+        self.states = {
+            backend: state
+            for backend, state in self.states.items()
+            if backend in self._published or state.slots.in_flight
+        }
+        placed = _place(topology, self._data_centre)
+        for backend, server in placed.items():
+            self.states.setdefault(backend, BackendState(server)).publish(
+                server,
+            )
+        self._published = frozenset(placed)
+
+    def resolve(
+        self, replicas: Sequence[BackendId], now_ms: float
+    ) -> Result[Replicas, Verdict]:
+        """Name those of the replicas that may get new work.
+
+        Ejected servers are used only when there is no other.
+        """
+        known = self._published.intersection(replicas)
+        if not known:
+            return Failure(not_run(Reason.UNKNOWN_BACKEND))
+        for fitness in (Fitness.FIT, Fitness.EJECTED):
+            found = tuple(
+                backend
+                for backend in sorted(known)
+                if self.states[backend].health.fitness(now_ms) is fitness
+            )
+            if found:
+                return Success(found)
+        return Failure(not_run(Reason.BACKEND_DRAINING))
+
+    def is_leaving(self, backend: BackendId, now_ms: float) -> bool:
+        """Say whether a server may never get new work again."""
+        if backend not in self._published:
+            return True
+        fitness = self.states[backend].health.fitness(now_ms)
+        return fitness is Fitness.DRAINING
+
+    def allowed(self, backend: BackendId, now_ms: float) -> int:
+        """Say how many attempts this VM may have at a server right now."""
+        state = self.states[backend]
+        if self.is_leaving(backend, now_ms):
+            return 0
+        return min(
+            self._share(backend, now_ms),
+            state.concurrency.allowed(now_ms),
+        )
+
+    def blame(self, backend: BackendId, reason: Reason, now_ms: float) -> None:
+        """Eject a server that keeps failing, within the bound."""
+        health = self.states[backend].health
+        if not health.ejection.fail(reason):
+            return
+        if _count_ejected(self.states, now_ms) < ejections_allowed(
+            len(self._published),
+        ):
+            health.ejection.eject(now_ms)
+
+
+def _place(
+    topology: Topology, data_centre: DataCentreId
+) -> Mapping[BackendId, BackendServer]:
+    return {
+        backend: placed.server
+        for backend, placed in topology.backends.items()
+        if placed.data_centre == data_centre
+    }
+
+
+def _count_ejected(
+    states: Mapping[BackendId, BackendState], now_ms: float
+) -> int:
+    fitnesses = (state.health.fitness(now_ms) for state in states.values())
+    return sum(fitness is Fitness.EJECTED for fitness in fitnesses)
--- /dev/null
+++ b/src/dandelionstage/owner/owner.py
@@ -0,0 +1,201 @@
+"""The owner: one queue and one set of slots for each backend server."""
+
+from dataclasses import replace
+from random import Random
+from typing import Final, final
+
+from ..configuration.topology import Topology
+from ..limits.queue import next_deadline_ms
+from ..limits.waiting import Waiting
+from ..model.ids import BackendId, CallId, DataCentreId, VmId
+from ..model.messages import SubRequest
+from ..model.verdict import Reason, Run, Verdict, not_run
+from ..routing.choice import Chooser, choose_least
+from .backends import Backends
+from .dispatcher import Dispatcher
+from .intake import Intake
+from .messages import AttemptOutcome, CancelAttempt, OwnerCommand
+from .replies import answer
+from .retry_allowance import RetryAllowance
+from .state import Attempt, OwnerState
+
+__all__ = ('Owner',)
+
+#: Without a call for this long, the process may have been paused.
+_PAUSE_MS: Final = 100.0
+
+#: Refusals that another replica may not share.
+_RETRIED: Final = frozenset(
+    (
+        Reason.BACKEND_DRAINING,
+        Reason.BACKEND_COLD,
+        Reason.BACKEND_OVERLOADED,
+        Reason.BACKEND_ERROR,
+        Reason.SNAPSHOT_GONE,
+        Reason.CONNECT_FAILED,
+        Reason.CONNECTION_LOST,
+        Reason.CONNECTION_SILENT,
+        Reason.CONNECTION_LIMIT,
+    ),
+)
+
+_CANCELLED: Final = not_run(Reason.CANCELLED)
+_NO_SLOT: Final = not_run(Reason.QUEUE_SHED, 'no slot is free for a hedge')
+
+Commands = tuple[OwnerCommand, ...]
+
+
+@final
+class Owner:  # noqa: WPS214 -- one method for each event of the shell
+    """Decides which sub-request runs where and when."""
+
+    def __init__(
+        self,
+        vm: VmId,
+        data_centre: DataCentreId,
+        random: Random,
+        choose: Chooser = choose_least,
+    ) -> None:
+        """Own shards of one data centre for one of its VMs."""
+        self._state = OwnerState(vm, Backends(data_centre, self._share))
+        self._dispatcher = Dispatcher(self._state, choose, random)
+        self._intake = Intake(self._state)
+        self._retries = RetryAllowance()
+        self._seen_ms = float('-inf')
+
+    def use_topology(self, topology: Topology, now_ms: float) -> Commands:
+        """Follow newer documents."""
+        self._state.backends.use_topology(topology)
+        commands = self._intake.expire(now_ms)
+        commands += self._intake.reroute(self._state.lanes, now_ms)
+        return (*commands, *self._fill_all(now_ms))
+
+    def offer(self, sub_request: SubRequest, now_ms: float) -> Commands:
+        """Take in a sub-request: start it, queue it or refuse it.
+
+        A call that is already here is not taken twice.
+        """
+        call = sub_request.call
+        if call in self._state.attempts or call in self._state.lanes.calls:
+            return ()
+        commands = self._wake(now_ms)
+        self._retries.earn()
+        deadline_ms = now_ms + sub_request.remaining_ms
+        waiting = Waiting(sub_request, now_ms, deadline_ms)
+        commands += self._intake.admit(waiting, now_ms)
+        commands += self._dispatcher.fill(sub_request.replicas, now_ms)
+        if sub_request.hedge:
+            commands += self._intake.withdraw(call, _NO_SLOT, now_ms)
+        return tuple(commands)
+
+    def finish(self, outcome: AttemptOutcome, now_ms: float) -> Commands:
+        """Take in how a started attempt ended."""
+        attempt = self._state.attempts.pop(outcome.call, None)
+        if attempt is None:
+            return ()
+        commands = self._wake(now_ms)
+        self._learn(attempt, outcome, now_ms)
+        commands += self._end(attempt, outcome, now_ms)
+        if self._state.backends.is_leaving(attempt.backend, now_ms):
+            feeding = self._state.lanes.feeding(attempt.backend)
+            commands += self._intake.reroute(feeding, now_ms)
+        return (*commands, *self._fill_all(now_ms))
+
+    def hear(
+        self,
+        backend: BackendId,
+        incarnation: str,
+        now_ms: float,
+        *,
+        draining: bool,
+    ) -> Commands:
+        """Take in what a peer or a health endpoint says of a server.
+
+        Only two things are believed: that it leaves, and that it has
+        restarted.
+        """
+        found = self._state.backends.states.get(backend)
+        if found is None:
+            return ()
+        found.hear(incarnation, now_ms, draining=draining)
+        feeding = self._state.lanes.feeding(backend)
+        commands = self._intake.reroute(feeding, now_ms)
+        return (*commands, *self._fill_all(now_ms))
+
+    def cancel(self, call: CallId, now_ms: float) -> Commands:
+        """Stop a sub-request; it still gets its one reply."""
+        attempt = self._state.attempts.get(call)
+        if attempt is None:
+            return tuple(self._intake.withdraw(call, _CANCELLED, now_ms))
+        self._state.attempts[call] = replace(attempt, cancelled=True)
+        return (CancelAttempt(call, attempt.backend),)
+
+    def tick(self, now_ms: float) -> Commands:
+        """Act on the passing of time."""
+        commands = self._intake.expire(now_ms)
+        return (*commands, *self._fill_all(now_ms))
+
+    def next_wakeup_ms(self, now_ms: float) -> float | None:
+        """Say at which time to call ``tick``, ``None`` if nothing waits."""
+        times_ms = [next_deadline_ms(lane.queue) for lane in self._state.lanes]
+        for backend in self._list_awaited():
+            found = self._state.server(backend)
+            times_ms.append(found.next_change_ms(now_ms))
+        return min((each for each in times_ms if each), default=None)
+
+    def connection_allowance(self, backend: BackendId) -> int:
+        """Say how many connections this VM may hold to a server."""
+        found = self._state.server(backend)
+        return found.server.max_connections
+
+    def pending(self) -> int:
+        """Count the sub-requests that wait or run."""
+        return len(self._state.lanes.calls) + len(self._state.attempts)
+
+    def _share(self, backend: BackendId, now_ms: float) -> int:
+        found = self._state.server(backend)
+        return found.server.slots
+
+    def _list_awaited(self) -> set[BackendId]:
+        return {
+            backend for lane in self._state.lanes for backend in lane.replicas
+        }
+
+    def _fill_all(self, now_ms: float) -> list[OwnerCommand]:
+        return self._dispatcher.fill(self._list_awaited(), now_ms)
+
+    def _wake(self, now_ms: float) -> list[OwnerCommand]:
+        """Drop what expired while the process was paused, if it was."""
+        paused_ms = now_ms - self._seen_ms
+        self._seen_ms = now_ms
+        return self._intake.expire(now_ms) if paused_ms > _PAUSE_MS else []
+
+    def _learn(
+        self, attempt: Attempt, outcome: AttemptOutcome, now_ms: float
+    ) -> None:
+        backend = attempt.backend
+        found = self._state.server(backend)
+        found.finish(outcome, attempt.waiting.deadline_ms, now_ms)
+        reason = outcome.verdict.reason
+        self._state.backends.blame(backend, reason, now_ms)
+
+    def _end(
+        self, attempt: Attempt, outcome: AttemptOutcome, now_ms: float
+    ) -> list[OwnerCommand]:
+        """Reply, or try another replica if it certainly did not run."""
+        waiting = attempt.waiting
+        tried = (*waiting.tried, attempt.backend)
+        left = set(waiting.sub_request.replicas).difference(tried)
+        if left and _may_retry(attempt, outcome.verdict, now_ms):
+            if self._retries.spend():
+                again = replace(waiting, tried=tried)
+                return self._intake.admit(again, now_ms)
+        return [answer(self._state.vm, attempt, outcome)]
+
+
+def _may_retry(attempt: Attempt, verdict: Verdict, now_ms: float) -> bool:
+    if verdict.run is not Run.NOT_RUN or verdict.reason not in _RETRIED:
+        return False
+    if attempt.cancelled or attempt.waiting.sub_request.hedge:
+        return False
+    return now_ms < attempt.waiting.deadline_ms
