--- a/src/dandelionstage/owner/messages.py
+++ b/src/dandelionstage/owner/messages.py
@@ -1,4 +1,4 @@
-"""Typed messages between an owner and the tasks that serve it."""
+"""Messages between the owner's decisions and the tasks that carry them."""
 
 from dataclasses import dataclass
 from typing import final
@@ -7,15 +7,22 @@
 from ..model.messages import Part, SubReply, SubRequest
 from ..model.verdict import Verdict
 
-__all__ = ('AttemptOutcome', 'CancelAttempt', 'SendReply', 'StartAttempt')
+__all__ = (
+    'AttemptOutcome',
+    'CancelAttempt',
+    'OwnerCommand',
+    'ProbeBackend',
+    'SendReply',
+    'StartAttempt',
+)
 
 
 @final
 @dataclass(frozen=True, slots=True)
 class StartAttempt:
-    """Send a sub-request to a backend server.
+    """Send a sub-request to a backend server now.
 
-    :ivar deadline_ms: monotonic time after which the reply is worthless.
+    :ivar deadline_ms: monotonic time at which the attempt must have ended.
     """
 
     sub_request: SubRequest
@@ -26,7 +33,7 @@
 @final
 @dataclass(frozen=True, slots=True)
 class SendReply:
-    """Answer the entry that sent a sub-request."""
+    """Tell the entry how its sub-request ended."""
 
     sub_reply: SubReply
 
@@ -34,23 +41,33 @@
 @final
 @dataclass(frozen=True, slots=True)
 class CancelAttempt:
-    """Stop an attempt whose answer nobody waits for."""
+    """Cancel a started attempt; its outcome is still awaited."""
 
     call: CallId
     backend: BackendId
 
 
+@final
+@dataclass(frozen=True, slots=True)
+class ProbeBackend:
+    """Ask a server that gets no work for its incarnation (a hint)."""
+
+    backend: BackendId
+
+
+OwnerCommand = StartAttempt | SendReply | CancelAttempt | ProbeBackend
+
+
 @final
 @dataclass(frozen=True, slots=True)
 class AttemptOutcome:
-    """How one attempt at a backend server ended.
+    """How a started attempt ended; each has exactly one.
 
     :ivar part: present only when the verdict's reason is ``OK``.
-    :ivar held_snapshots: what the backend server said it holds.
-    :ivar draining: the backend server said that it is leaving.
-    :ivar backend_incarnation: empty when the server said nothing.
-    :ivar service_ms: from the request's send to the end of the reply.
-    :ivar hop_ms: the whole attempt, waiting for a connection included.
+    :ivar draining: the server said that it is leaving.
+    :ivar backend_incarnation: empty when the server did not reply.
+    :ivar service_ms: time at the server, as it says.
+    :ivar hop_ms: time from send to end, as seen here.
     """
 
     call: CallId
