--- /dev/null
+++ b/tests/test_lifecycle.py
@@ -0,0 +1,95 @@
+"""The stop sequence and the pause detector."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from dandelionstage.lifecycle.pause import PauseDetector
+from dandelionstage.lifecycle.stopping import (
+    StopLimits,
+    StopSequence,
+    StopState,
+)
+
+LIMITS = StopLimits(100, 200, 3000, 50)
+ORDER = list(StopState)
+
+
+def draining():
+    """Bring a daemon to the point where it drains."""
+    stop = StopSequence(LIMITS)
+    stop.begin(0)
+    assert stop.state is StopState.NOT_READY
+    assert stop.advance(99, 1, 1) is StopState.NOT_READY
+    assert stop.advance(100, 1, 1) is StopState.ANNOUNCED
+    assert stop.accepts_new
+    assert stop.next_wakeup_ms() == 300
+    assert stop.advance(300, 1, 1) is StopState.DRAINING
+    assert not stop.accepts_new
+    return stop
+
+
+def test_waits_for_work_and_tickets():
+    stop = draining()
+    assert stop.advance(400, 1, 0) is StopState.DRAINING
+    assert stop.advance(400, 0, 1) is StopState.DRAINING
+    assert stop.advance(400, 0, 0) is StopState.CLOSING
+    assert stop.advance(401, 0, 0, connections=2) is StopState.CLOSING
+    assert stop.advance(402, 0, 0) is StopState.STOPPED
+    assert stop.advance(9000, 0, 0) is StopState.STOPPED
+    assert not stop.overran
+
+
+def test_bound_on_draining_is_kept_and_told():
+    stop = draining()
+    assert stop.advance(3299, 1, 0) is StopState.DRAINING
+    assert stop.advance(3300, 1, 0) is StopState.CLOSING
+    assert stop.overran
+    assert stop.advance(3350, 1, 0, connections=1) is StopState.STOPPED
+
+
+def test_second_signal_changes_nothing():
+    stop = draining()
+    stop.begin(300)
+    assert stop.state is StopState.DRAINING
+    assert stop.next_wakeup_ms() == 3300
+
+
+def test_serving_never_stops_by_itself():
+    stop = StopSequence(LIMITS)
+    assert stop.advance(1e12, 0, 0) is StopState.SERVING
+
+
+@given(
+    st.lists(
+        st.tuples(
+            st.floats(0, 5000),
+            st.integers(0, 2),
+            st.booleans(),
+        ),
+        max_size=30,
+    ),
+)
+def test_states_come_in_order_and_work_is_cut_only_at_the_bound(steps):
+    stop = StopSequence(LIMITS)
+    now_ms = 0
+    stop.begin(now_ms)
+    for gap_ms, left, signal in steps:
+        before = stop.state
+        now_ms += gap_ms
+        due_ms = stop.next_wakeup_ms()
+        if signal:
+            stop.begin(now_ms)
+        after = stop.advance(now_ms, left, 0)
+        assert ORDER.index(after) - ORDER.index(before) in {0, 1}
+        if before is StopState.DRAINING and after is StopState.CLOSING:
+            assert left == 0 or now_ms >= due_ms
+            assert stop.overran == (left > 0)
+
+
+def test_pause_is_the_whole_gap():
+    pause = PauseDetector(limit_ms=250)
+    assert pause.beat(1000) == 0
+    assert pause.beat(1100) == 0
+    assert pause.beat(1350) == 0
+    assert pause.beat(9000) == 7650
+    assert pause.beat(9100) == 0
--- a/tools/standins/serving.py
+++ b/tools/standins/serving.py
@@ -57,11 +57,11 @@
 
 async def _read_request(reading: BufferedByteReceiveStream) -> HttpRequest:
     head = await reading.receive_until(_END_OF_HEAD, _MAX_HEAD_BYTES)
-    method, target, _ = head.decode().split(' ', maxsplit=2)
     found = _LENGTH.search(head)
     length = int(found[1]) if found else 0
     body = await reading.receive_exactly(min(length, _MAX_BODY_BYTES))
-    return HttpRequest(method, target, body)
+    words = head.decode().split(' ', maxsplit=2)
+    return HttpRequest(words[0], words[1], body)
 
 
 async def _send(stream: ByteStream, reply: HttpReply) -> None:
