--- /dev/null
+++ b/src/dandelionstage/daemon/node.py
@@ -0,0 +1,108 @@
+"""Joins the parts of a daemon; each part knows only what it is given."""
+
+from random import SystemRandom
+from typing import Final, final
+
+from anyio.abc import TaskGroup
+
+from ..configuration.store import DocumentStore
+from ..entry.runner import ExecutionRunner
+from ..inner.link import Link, LinkEnd, LinkHandlers
+from ..inner.link_table import LinkTable
+from ..inner.messages import CancelCall
+from ..inner.outbox import CallMessage
+from ..inner.peers import PeerLinks
+from ..membership.members import Members
+from ..membership.messages import Identity
+from ..model.ids import VmId
+from ..model.messages import SubReply, SubRequest
+from ..operations.metrics import Metrics
+from ..owner.owner import Owner
+from ..settings.model import Settings
+from .backend_pools import BackendPools
+from .clock import monotonic_ms
+from .courier import make_courier
+from .dispatch import Dispatch
+from .facts import Facts
+from .identity import new_greeting
+from .inbound import InboundCalls
+from .owner_service import OwnerService
+
+__all__ = ('Node',)
+
+#: Named as answering for a link that ended before its greeting came.
+_UNKNOWN_VM: Final = VmId('')
+
+
+@final
+class Node:
+    """The parts that every request passes, wired to each other.
+
+    :ivar greeting: who this process is.
+    :ivar facts: what it knows of the fleet.
+    :ivar dispatch: takes further handlers of inner messages.
+    :ivar peers: its links; a context manager, entered by the daemon.
+    """
+
+    def __init__(self, settings: Settings, group: TaskGroup) -> None:
+        """Wire the parts; nothing runs yet.
+
+        :param group: runs attempts and keeps pools open.
+        """
+        self.greeting = new_greeting(settings)
+        self.metrics = Metrics()
+        self.random = SystemRandom()
+        self.dispatch = Dispatch()
+        self.facts = self._know(settings)
+        self.peers = PeerLinks(self._link_table(), self.facts.address_of)
+        self.owner = self._own(group)
+        self.runner = self._run()
+        self._inbound = InboundCalls(self.owner)
+        self.dispatch.register(SubRequest, self._inbound.take)
+        self.dispatch.register(CancelCall, self._inbound.cancel)
+        self.dispatch.register(
+            SubReply,
+            lambda _, reply: self.runner.take_reply(reply),
+        )
+
+    def _know(self, settings: Settings) -> Facts:
+        store = DocumentStore()
+        identity = Identity(
+            vm=settings.vm,
+            incarnation=self.greeting.incarnation,
+            data_centre=settings.data_centre,
+        )
+        members = Members(identity, store.digest, self.random)
+        return Facts(settings, store, members)
+
+    def _link_table(self) -> LinkTable:
+        handlers = LinkHandlers(self.dispatch.take, self._lose, self._end)
+        return LinkTable(self.greeting, handlers, monotonic_ms)
+
+    def _own(self, group: TaskGroup) -> OwnerService:
+        greeting = self.greeting
+        owner = Owner(greeting.vm, greeting.data_centre, self.random)
+        pools = BackendPools(group, self.facts.topology)
+        service = OwnerService(owner, pools, group, monotonic_ms)
+        self.facts.follow(
+            lambda topology: service.carry_out(
+                owner.use_topology(topology, monotonic_ms()),
+            ),
+        )
+        return service
+
+    def _run(self) -> ExecutionRunner:
+        courier = make_courier(
+            self.greeting.vm,
+            self.peers.send,
+            self.owner,
+            lambda reply: self.runner.take_reply(reply),
+        )
+        return ExecutionRunner(courier, monotonic_ms)
+
+    def _lose(self, link: Link, call: CallMessage, sent: bool) -> None:
+        if isinstance(call, SubRequest):
+            self.runner.take_lost(link.peer or _UNKNOWN_VM, call, sent=sent)
+
+    def _end(self, link: Link, end: LinkEnd) -> None:
+        self._inbound.drop(link)
--- /dev/null
+++ b/src/dandelionstage/daemon/owner_service.py
@@ -0,0 +1,89 @@
+"""Carries out what the owner decides: attempts at backend servers."""
+
+from collections.abc import Callable, Iterable
+from typing import Final, final
+
+import anyio
+from anyio.abc import TaskGroup
+
+from ..model.ids import CallId
+from ..model.messages import SubReply, SubRequest
+from ..owner.messages import (
+    CancelAttempt,
+    OwnerCommand,
+    SendReply,
+    StartAttempt,
+)
+from ..owner.owner import Owner
+from .backend_pools import BackendPools
+
+__all__ = ('OwnerService', 'ReplyTo')
+
+#: How often queued work is looked at while some waits, and while none does.
+_BUSY_TICK_S: Final = 0.01
+_IDLE_TICK_S: Final = 0.1
+
+#: Takes the reply to a sub-request back to where it came from.
+ReplyTo = Callable[[SubReply], None]
+
+
+@final
+class OwnerService:
+    """Runs one owner over the pools of its backend servers."""
+
+    def __init__(
+        self,
+        owner: Owner,
+        pools: BackendPools,
+        group: TaskGroup,
+        clock: Callable[[], float],
+    ) -> None:
+        """Start with nothing to do.
+
+        :param group: runs the attempts.
+        """
+        self.owner = owner
+        self._pools = pools
+        self._group = group
+        self._clock = clock
+        self._reply_to: dict[CallId, ReplyTo] = {}
+
+    def take(self, sub_request: SubRequest, reply_to: ReplyTo) -> None:
+        """Take in a sub-request; its one reply goes back the same way."""
+        self._reply_to[sub_request.call] = reply_to
+        self.carry_out(self.owner.offer(sub_request, self._clock()))
+
+    def cancel(self, call: CallId) -> None:
+        """Stop a sub-request that is no longer waited for."""
+        self.carry_out(self.owner.cancel(call, self._clock()))
+
+    async def run(self) -> None:
+        """Let the owner act on the passing of time until cancelled."""
+        while True:
+            pause_s = _BUSY_TICK_S if self.owner.pending() else _IDLE_TICK_S
+            await anyio.sleep(pause_s)
+            self.carry_out(self.owner.tick(self._clock()))
+
+    def carry_out(self, commands: Iterable[OwnerCommand]) -> None:
+        """Do what the owner decided."""
+        for command in commands:
+            if isinstance(command, StartAttempt):
+                self._group.start_soon(self._attempt, command)
+            elif isinstance(command, CancelAttempt):
+                self._group.start_soon(
+                    self._pools.cancel,
+                    command.backend,
+                    command.call,
+                )
+            elif isinstance(command, SendReply):
+                self._reply(command.sub_reply)
+
+    def _reply(self, reply: SubReply) -> None:
+        reply_to = self._reply_to.pop(reply.call, None)
+        if reply_to is not None:
+            reply_to(reply)
+
+    async def _attempt(self, start: StartAttempt) -> None:
+        allowance = self.owner.connection_allowance(start.backend)
+        outcome = await self._pools.attempt(start, allowance)
+        self.carry_out(self.owner.finish(outcome, self._clock()))
