Daemon: close the links before the attempts' tasks

Cause: cancelling the outer task group from inside the links' context made the exit raise. Conclusion: SIGTERM ends the process without an error.

--- a/src/dandelionstage/daemon/daemon.py
+++ b/src/dandelionstage/daemon/daemon.py
@@ -28,7 +28,7 @@
             group.start_soon(_watch_signals, stopped)
             _start_inner(node, settings, group)
             await _listen(node, settings, stopped)
-            group.cancel_scope.cancel()
+        group.cancel_scope.cancel()
 
 
 def _start_inner(node: Node, settings: Settings, group: TaskGroup) -> None:
