Daemon: keep the HTTP server's task to itself

Cause: hypercorn cancels the task that it runs in as it ends, which undid the cancellation count of the daemon's main task, so that its exit raised; found by ending a daemon. Ruled out: the order in which links and attempts are closed (a plain task-group nesting exits cleanly). Conclusion: each server runs in a task of its own; SIGTERM leaves nothing on the error output.

--- a/src/dandelionstage/daemon/listeners.py
+++ b/src/dandelionstage/daemon/listeners.py
@@ -1,6 +1,7 @@
 """The ports of a daemon: HTTP for callers and operators, TCP for peers."""
 
 from collections.abc import Awaitable, Callable
+from functools import partial
 from typing import Any, Final, cast
 
 import anyio
@@ -40,11 +41,15 @@
     config.errorlog = None
     # Callers name the VM by its address, so no server header is needed.
     config.include_server_header = False
-    await serve(
+    run = partial(
+        serve,
         cast(Any, app),
         config,
         shutdown_trigger=stopped.wait,
     )
+    # The server cancels the task that it runs in when it ends.
+    async with anyio.create_task_group() as group:
+        group.start_soon(run)
 
 
 async def listen_inner(
