--- /dev/null
+++ b/src/dandelionstage/configuration/counts.py
@@ -0,0 +1,76 @@
+"""What the spread of documents has done, to be shown to operators."""
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
+from typing import final
+
+from ..model.ids import DocumentKey, Revision
+from .commands import (
+    Command,
+    Heads,
+    PullFrom,
+    PushTo,
+    ReadDocument,
+    ReadHeads,
+)
+from .offers import OfferOutcome
+
+__all__ = ('SpreadCounts',)
+
+
+@final
+@dataclass(slots=True)
+class SpreadCounts:
+    """Counts since the process started.
+
+    :ivar heads_reads: reads of the service's history, watches too.
+    :ivar failed_reads: reads of the service that brought no answer.
+    :ivar behind: times the service named an older revision than one held.
+    :ivar pulls: requests for documents sent to other VMs.
+    :ivar pushes: messages with documents sent to other VMs.
+    """
+
+    heads_reads: int = 0
+    document_reads: int = 0
+    failed_reads: int = 0
+    behind: int = 0
+    pulls: int = 0
+    pushes: int = 0
+    accepted: int = 0
+    stale: int = 0
+    invalid: int = 0
+
+    def note_commands(self, commands: Iterable[Command]) -> None:
+        """Count what the tasks around are asked to do."""
+        for command in commands:
+            match command:
+                case ReadHeads():
+                    self.heads_reads += 1
+                case ReadDocument():
+                    self.document_reads += 1
+                case PullFrom():
+                    self.pulls += 1
+                case PushTo():
+                    self.pushes += 1
+
+    def note_outcome(self, outcome: OfferOutcome) -> None:
+        """Count what became of a document."""
+        match outcome:
+            case OfferOutcome.ACCEPTED:
+                self.accepted += 1
+            case OfferOutcome.STALE:
+                self.stale += 1
+            case OfferOutcome.INVALID:
+                self.invalid += 1
+
+    def note_heads(
+        self,
+        heads: Heads,
+        held: Mapping[DocumentKey, Revision],
+    ) -> None:
+        """Count the documents of which the service is behind this VM."""
+        self.behind += sum(
+            1
+            for key, revision in heads.heads
+            if revision < held.get(key, revision)
+        )
--- a/src/dandelionstage/configuration/store.py
+++ b/src/dandelionstage/configuration/store.py
@@ -22,7 +22,7 @@
 _HASH_MASK: Final = 0x7FFFFFFFFFFFFFFF
 
 #: Below every revision.
-_NO_REVISION: Final = -1
+_NO_REVISION: Final = Revision(-1)
 
 
 @final
@@ -90,12 +90,16 @@
     def newer_than(
         self,
         held: Mapping[DocumentKey, Revision],
+        above: Revision = _NO_REVISION,
     ) -> tuple[Document, ...]:
-        """List the documents that a holder of these revisions lacks."""
+        """List the documents that a holder of these revisions lacks.
+
+        :param above: leave out documents that are not above this revision.
+        """
         return tuple(
             entry.document
             for key, entry in self._entries.items()
-            if entry.document.revision > held.get(key, _NO_REVISION)
+            if entry.document.revision > max(above, held.get(key, above))
         )
 
     def digest(self) -> Digest:
--- a/src/dandelionstage/inner/inner.thrift
+++ b/src/dandelionstage/inner/inner.thrift
@@ -84,6 +84,8 @@
 struct PullWire {
   1: required string call
   2: required map<string, i64> held
+  // Only documents above this revision are wanted.
+  3: optional i64 above
 }
 
 struct DocumentsWire {
--- a/src/dandelionstage/inner/wire_control.py
+++ b/src/dandelionstage/inner/wire_control.py
@@ -103,7 +103,11 @@
 
 def encode_pull(message: Pull) -> PullWire:
     """Make the wire form of a request for documents."""
-    return PullWire(call=message.call, held=dict(message.held))
+    return PullWire(
+        call=message.call,
+        held=dict(message.held),
+        above=message.above,
+    )
 
 
 def decode_pull(wire: PullWire) -> Pull:
@@ -114,6 +118,7 @@
             DocumentKey(key): Revision(revision)
             for key, revision in wire.held.items()
         },
+        above=Revision(-1 if wire.above is None else wire.above),
     )
 
 
--- a/src/dandelionstage/model/messages.py
+++ b/src/dandelionstage/model/messages.py
@@ -173,10 +173,15 @@
 @final
 @dataclass(frozen=True, slots=True)
 class Pull:
-    """Asks a peer for every document above the revisions already held."""
+    """Asks a peer for every document above the revisions already held.
+
+    :ivar above: only documents above this revision are wanted, so that one
+        who is only a little behind need not list all that it holds.
+    """
 
     call: CallId
     held: Mapping[DocumentKey, Revision]
+    above: Revision = Revision(-1)
 
 
 @final
