--- a/tests/test_owner.py
+++ b/tests/test_owner.py
@@ -259,8 +259,8 @@
     owner, running = busy_owner()
     call = running[0].sub_request.call
     assert owner.cancel(call, 1) == (CancelAttempt(call, ONE),)
-    done = owner.finish(end(running[0], not_run(Reason.CANCELLED)), 2)
-    assert reasons(done) == [Reason.CANCELLED]
+    outcome = end(running[0], not_run(Reason.CANCELLED))
+    assert reasons(owner.finish(outcome, 2)) == [Reason.CANCELLED]
 
 
 def test_repeated_call_or_outcome_changes_nothing():
