--- /dev/null
+++ b/tests/test_query_gather.py
@@ -0,0 +1,95 @@
+"""Parts are checked, merged once and counted; pins are well chosen."""
+
+from dataclasses import replace
+
+import pytest
+
+from dandelionstage.model.messages import Part, Pin, Record
+from dandelionstage.model.verdict import Reason
+from dandelionstage.query.gather import Gather
+from dandelionstage.query.held import HeldSnapshots
+from dandelionstage.query.pinning import choose_snapshot, pin_of
+
+from . import query_fleet as fleet
+
+SHARDS = fleet.shard_map(2)
+NEW = fleet.snapshot('S2', 2, SHARDS)
+OLD = fleet.snapshot('S1', 1, SHARDS)
+BOTH = fleet.workload(NEW, OLD)
+BACKENDS = ('b00-0', 'b00-1', 'b01-0', 'b01-1')
+
+
+def part(shard=0, record='r'):
+    records = (Record(record, 'body of {0}'.format(shard)),)
+    name = 's0{0}'.format(shard)
+    return Part(SHARDS[name][0], name, pin_of(NEW), records)
+
+
+@pytest.mark.parametrize(
+    ('change', 'fault'),
+    [
+        ({'pin': Pin('S1', 2)}, Reason.SNAPSHOT_MISMATCH),
+        ({'pin': Pin('S2', 1)}, Reason.SNAPSHOT_MISMATCH),
+        ({'shard': 's01'}, Reason.BAD_REPLY),
+        ({'backend': 'b01-0'}, Reason.BAD_REPLY),
+    ],
+)
+def test_wrong_echo_is_dropped(change, fault):
+    gather = Gather(NEW)
+    assert gather.merge(replace(part(), **change), 's00') is fault
+    assert gather.coverage().answered == 0
+    assert not gather.records()
+
+
+def test_second_part_of_a_shard_is_dropped():
+    gather = Gather(NEW)
+    gather.merge(part(), 's00')
+    assert gather.merge(part(record='other'), 's00') is Reason.BAD_REPLY
+    assert [one.record for one in gather.records()] == ['r']
+
+
+def test_record_on_two_shards_comes_once_in_any_order():
+    forward, backward = Gather(NEW), Gather(NEW)
+    for shard in (0, 1):
+        forward.merge(part(shard), f's0{shard}')
+    for shard in (1, 0):
+        backward.merge(part(shard), f's0{shard}')
+    assert len(forward.records()) == 1
+    assert forward.records() == backward.records()
+
+
+def test_nothing_known_pins_the_newest():
+    assert choose_snapshot(BOTH, HeldSnapshots(), (), 0) is NEW
+
+
+def test_newest_that_every_shard_holds_is_pinned():
+    held = HeldSnapshots()
+    for backend in BACKENDS:
+        held.learn(backend, ('S1',), 0)
+    assert choose_snapshot(BOTH, held, (), 1) is OLD
+    held.learn('b00-1', ('S1', 'S2'), 2)
+    held.learn('b01-0', ('S1', 'S2'), 2)
+    assert choose_snapshot(BOTH, held, (), 3) is NEW
+
+
+def test_old_word_is_forgotten():
+    held = HeldSnapshots()
+    for backend in BACKENDS:
+        held.learn(backend, ('S1',), 0)
+    assert choose_snapshot(BOTH, held, (), 31_000) is NEW
+
+
+def test_moved_shard_counts_against_its_pin_for_a_while():
+    held = HeldSnapshots()
+    for backend in BACKENDS:
+        held.learn(backend, ('S1', 'S2'), 0)
+    for backend in SHARDS['s00']:
+        held.note_moved(backend, 's00', pin_of(NEW), 0)
+    assert choose_snapshot(BOTH, held, (), 1) is OLD
+    assert choose_snapshot(BOTH, held, (), 6000) is NEW
+
+
+def test_pin_given_up_is_not_chosen_again():
+    held = HeldSnapshots()
+    assert choose_snapshot(BOTH, held, (pin_of(NEW),), 0) is OLD
+    assert choose_snapshot(BOTH, held, (pin_of(NEW), pin_of(OLD)), 0) is None
--- /dev/null
+++ b/tests/test_retries.py
@@ -0,0 +1,96 @@
+"""Extra load stays inside its budget; delays follow what was seen."""
+
+from random import Random
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from dandelionstage.retries.backoff import backoff_ms
+from dandelionstage.retries.budget import RetryBudget
+from dandelionstage.retries.hedging import HedgeDelays
+from dandelionstage.retries.signs import OwnerSigns
+
+SAVED = 400
+
+
+@settings(derandomize=True)
+@given(
+    st.floats(min_value=0, max_value=1),
+    st.lists(st.integers(min_value=-50, max_value=50), max_size=200),
+)
+def test_budget_never_allows_more_than_its_fraction(fraction, steps):
+    budget = RetryBudget(fraction)
+    primaries, taken = 0, 0
+    for step in steps:
+        if step > 0:
+            primaries += step
+            budget.earn(step)
+        else:
+            taken += sum(budget.take() for _ in range(-step))
+    assert taken <= fraction * (primaries + SAVED) + 1e-6
+
+
+def test_debt_is_repaid_before_anything_is_retried():
+    budget = RetryBudget(0.05)
+    budget.charge(30)
+    budget.earn(200)
+    assert not budget.take()
+    budget.earn(40)
+    assert budget.take()
+
+
+def test_debt_is_bounded():
+    budget = RetryBudget(0.05)
+    budget.charge(1_000_000)
+    budget.earn(SAVED + 21)
+    assert budget.take()
+
+
+def test_quiet_hours_save_up_no_more_than_one_bucket():
+    budget = RetryBudget(0.05)
+    budget.earn(1_000_000)
+    assert sum(budget.take() for _ in range(1000)) == SAVED * 0.05
+
+
+def test_lowered_fraction_takes_saved_tokens_away():
+    budget = RetryBudget(0.5)
+    budget.use_fraction(0)
+    assert not budget.take()
+
+
+def test_backoff_honours_the_server_and_spreads():
+    random = Random(1)
+    waits = [backoff_ms(3, 40, random) for _ in range(100)]
+    assert min(waits) >= 40
+    assert max(waits) <= 56
+    assert len(set(waits)) == 100
+
+
+def test_delay_is_the_tail_quantile_of_the_shard():
+    delays = HedgeDelays()
+    for elapsed_ms in range(1, 41):
+        delays.observe('w', 's', elapsed_ms)
+    assert delays.delay_ms('w', 's') == 39
+
+
+def test_slow_shard_does_not_hide_its_slow_replica():
+    delays = HedgeDelays()
+    for _ in range(200):
+        delays.observe('w', 'fast', 5)
+        delays.observe('w', 'fast-too', 5)
+    for elapsed_ms in (5, 500) * 8:
+        delays.observe('w', 'straggling', elapsed_ms)
+    assert delays.delay_ms('w', 'straggling') == 10
+
+
+def test_owner_is_silent_until_heard_or_tried_again():
+    signs = OwnerSigns()
+    signs.ask('vm', 0)
+    signs.ask('vm', 90)
+    assert not signs.is_silent('vm', 100, 100)
+    assert signs.is_silent('vm', 101, 100)
+    assert not signs.is_silent('vm', 1101, 100)
+    signs.ask('vm', 1200)
+    assert signs.is_silent('vm', 1301, 100)
+    signs.hear('vm', 1302)
+    assert not signs.is_silent('vm', 1303, 100)
