--- /dev/null
+++ b/src/dandelionstage/cli/documents.py
@@ -0,0 +1,109 @@
+"""Read documents from files before they are published."""
+
+import json
+from collections.abc import Iterable
+from dataclasses import dataclass, replace
+from pathlib import Path
+from typing import Any, Final, final
+
+import typer
+import yaml
+from returns.pipeline import is_successful
+from returns.result import Failure, Result
+
+from ..model.contract import Contract
+from ..model import documents as published
+from ..model.ids import DocumentKey, Revision
+from ..model.topology import Workload
+from ..settings.yaml_loader import UniqueKeyLoader
+
+__all__ = ('DocumentFaults', 'Documents', 'read_all', 'read_contract')
+
+DocumentFaults = tuple[published.DocumentFault, ...]
+
+#: The field that tells a document's kind, and the one that names it.
+_KINDS: Final = (
+    ('backends', 'data_centre'),
+    ('vms', 'data_centre'),
+    ('workload', 'workload'),
+)
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class Documents:
+    """What a set of files holds.
+
+    :ivar faults: of all the files; the others are valid.
+    """
+
+    contracts: tuple[Contract, ...] = ()
+    workloads: tuple[Workload, ...] = ()
+    faults: DocumentFaults = ()
+
+    def add(self, body: published.Body) -> 'Documents':
+        """Keep one more valid document."""
+        match body:
+            case Contract():
+                return replace(self, contracts=(*self.contracts, body))
+            case Workload():
+                return replace(self, workloads=(*self.workloads, body))
+        return self
+
+
+def read_all(files: Iterable[Path]) -> Documents:
+    """Read and validate documents, YAML or JSON."""
+    documents = Documents()
+    for path in files:
+        outcome = _read(path)
+        if is_successful(outcome):
+            documents = documents.add(outcome.unwrap())
+        else:
+            faults = (*documents.faults, *outcome.failure())
+            documents = replace(documents, faults=faults)
+    return documents
+
+
+def read_contract(path: Path) -> Contract:
+    """Read a file that must hold a valid contract.
+
+    :raises typer.BadParameter: naming every fault.
+    """
+    documents = read_all((path,))
+    if documents.contracts:
+        return documents.contracts[0]
+    problems = [
+        '{0}: {1}'.format(fault.path, fault.problem)
+        for fault in documents.faults
+    ]
+    problem = '; '.join(problems) or 'not a contract'
+    raise typer.BadParameter('{0}: {1}'.format(path, problem))
+
+
+def _read(path: Path) -> Result[published.Body, DocumentFaults]:
+    try:
+        raw = yaml.load(path.read_bytes(), Loader=UniqueKeyLoader)
+    except OSError as error:
+        return _unreadable(path, error.strerror or 'not readable')
+    except (yaml.YAMLError, ValueError, TypeError) as error:
+        return _unreadable(path, 'not YAML or JSON: {0}'.format(error))
+    if not isinstance(raw, dict):
+        return _unreadable(path, 'must be a mapping')
+    encoded = json.dumps(raw, default=str).encode()
+    return published.parse(
+        published.Document(_key_of(raw), Revision(0), encoded)
+    )
+
+
+def _key_of(raw: dict[Any, Any]) -> DocumentKey:
+    for kind, name_field in _KINDS:
+        if kind in raw:
+            return DocumentKey('{0}/{1}'.format(kind, raw.get(name_field)))
+    return DocumentKey('contract/{0}'.format(raw.get('customer')))
+
+
+def _unreadable(
+    path: Path, problem: str
+) -> Result[published.Body, DocumentFaults]:
+    fault = published.DocumentFault(DocumentKey(str(path)), '(file)', problem)
+    return Failure((fault,))
