--- /dev/null
+++ b/tools/demo/__init__.py
@@ -0,0 +1,1 @@
+"""Shows the product on loopback: what it does when members are lost."""
--- a/tools/fleet/clients.py
+++ b/tools/fleet/clients.py
@@ -78,8 +78,14 @@
 class BackendControl(_Client):
     """The witness's side of a stand-in backend server."""
 
-    def log(self) -> dict[str, Any]:
-        """Read every start, run and refusal, and the maxima in use."""
+    def log(self) -> list[dict[str, Any]]:
+        """Read every start, run and refusal, oldest first."""
         response = self._http.get('/control/log')
-        log: dict[str, Any] = response.raise_for_status().json()
+        log: list[dict[str, Any]] = response.raise_for_status().json()['log']
         return log
+
+    def maxima(self) -> dict[str, Any]:
+        """Read how much was in use at most, and the counts."""
+        response = self._http.get('/control/maxima')
+        maxima: dict[str, Any] = response.raise_for_status().json()
+        return maxima
