--- a/src/dandelionstage/configuration/counts.py
+++ b/src/dandelionstage/configuration/counts.py
@@ -28,6 +28,7 @@
     :ivar behind: times the service named an older revision than one held.
     :ivar pulls: requests for documents sent to other VMs.
     :ivar pushes: messages with documents sent to other VMs.
+    :ivar dropped: events that came faster than they could be handled.
     """
 
     heads_reads: int = 0
@@ -39,6 +40,7 @@
     accepted: int = 0
     stale: int = 0
     invalid: int = 0
+    dropped: int = 0
 
     def note_commands(self, commands: Iterable[Command]) -> None:
         """Count what the tasks around are asked to do."""
--- /dev/null
+++ b/src/dandelionstage/daemon/peer_view.py
@@ -0,0 +1,59 @@
+"""What the spread of documents sees of the members."""
+
+from itertools import chain
+from typing import Final
+
+from ..configuration.commands import PeerView
+from ..membership.members import Members
+from ..membership.messages import Identity
+from ..model.ids import VmId
+from ..routing.ownership import rank_vms
+
+__all__ = ('view_peers',)
+
+#: VMs of each data centre that watch the configuration service.
+_READERS: Final = 2
+
+
+def view_peers(members: Members, identity: Identity) -> PeerView:
+    """Make the view that follows the members.
+
+    The readers of a data centre are the first in rendezvous order of those
+    it takes to be live (Thaler and Ravishankar 1998), so that a VM which
+    hears of no other reads for itself.
+    """
+    own = identity.data_centre
+    readers = _Readers('reader/{0}'.format(own))
+
+    def near() -> tuple[VmId, ...]:  # noqa: WPS430 -- a closure
+        return tuple(vm for vm in members.live(own) if vm != identity.vm)
+
+    def far() -> tuple[VmId, ...]:  # noqa: WPS430 -- a closure
+        return tuple(
+            chain.from_iterable(
+                members.live(data_centre)
+                for data_centre in members.data_centres()
+                if data_centre != own
+            ),
+        )
+
+    def reads() -> bool:  # noqa: WPS430 -- a closure
+        live = members.live(own)
+        if identity.vm not in live:
+            return not near()
+        return identity.vm in readers.choose(live)
+
+    return PeerView(near, far, reads)
+
+
+class _Readers:
+    def __init__(self, name: str) -> None:
+        self._name = name
+        self._live: tuple[VmId, ...] = ()
+        self._chosen: tuple[VmId, ...] = ()
+
+    def choose(self, live: tuple[VmId, ...]) -> tuple[VmId, ...]:
+        if live is not self._live:
+            self._live = live
+            self._chosen = rank_vms(self._name, live)[:_READERS]
+        return self._chosen
--- a/src/dandelionstage/membership/members.py
+++ b/src/dandelionstage/membership/members.py
@@ -106,6 +106,10 @@
         """List all published VMs: live, then suspected, then leaving."""
         return self._roster.ranking.usable(data_centre)
 
+    def data_centres(self) -> tuple[DataCentreId, ...]:
+        """List the data centres that have published VMs."""
+        return tuple(self._roster.published())
+
     def incarnation_of(self, vm: VmId) -> Incarnation:
         """Say the highest incarnation heard of a VM, 0 if none."""
         return self._roster.standing_of(vm).incarnation
