Explain a contract's limits, and check documents against each other

The command line now joins the files given into the same topology that the daemons build, so that sizes and cross-checks come from one place.

--- a/src/dandelionstage/cli/documents.py
+++ b/src/dandelionstage/cli/documents.py
@@ -2,7 +2,8 @@
 
 import json
 from collections.abc import Iterable
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
+from itertools import chain
 from pathlib import Path
 from typing import Any, Final, final
 
@@ -12,9 +13,10 @@
 from returns.result import Failure, Result
 
 from ..model.contract import Contract
+from ..configuration.topology import Topology
+from ..configuration.topology_builder import build_topology
 from ..model import documents as published
 from ..model.ids import DocumentKey, Revision
-from ..model.topology import Workload
 from ..settings.yaml_loader import UniqueKeyLoader
 
 __all__ = ('DocumentFaults', 'Documents', 'read_all', 'read_contract')
@@ -34,34 +36,27 @@
 class Documents:
     """What a set of files holds.
 
-    :ivar faults: of all the files; the others are valid.
+    :ivar topology: the valid documents, joined.
+    :ivar faults: of the others.
     """
 
-    contracts: tuple[Contract, ...] = ()
-    workloads: tuple[Workload, ...] = ()
-    faults: DocumentFaults = ()
-
-    def add(self, body: published.Body) -> 'Documents':
-        """Keep one more valid document."""
-        match body:
-            case Contract():
-                return replace(self, contracts=(*self.contracts, body))
-            case Workload():
-                return replace(self, workloads=(*self.workloads, body))
-        return self
+    topology: Topology
+    faults: DocumentFaults
 
 
 def read_all(files: Iterable[Path]) -> Documents:
     """Read and validate documents, YAML or JSON."""
-    documents = Documents()
-    for path in files:
-        outcome = _read(path)
-        if is_successful(outcome):
-            documents = documents.add(outcome.unwrap())
-        else:
-            faults = (*documents.faults, *outcome.failure())
-            documents = replace(documents, faults=faults)
-    return documents
+    outcomes = [_read(path) for path in files]
+    bodies = [
+        (Revision(number), outcome.unwrap())
+        for number, outcome in enumerate(outcomes)
+        if is_successful(outcome)
+    ]
+    faults = [outcome.swap().value_or(()) for outcome in outcomes]
+    return Documents(
+        topology=build_topology(bodies),
+        faults=tuple(chain.from_iterable(faults)),
+    )
 
 
 def read_contract(path: Path) -> Contract:
@@ -70,8 +65,9 @@
     :raises typer.BadParameter: naming every fault.
     """
     documents = read_all((path,))
-    if documents.contracts:
-        return documents.contracts[0]
+    contracts = tuple(documents.topology.contracts.values())
+    if contracts:
+        return contracts[0]
     problems = [
         '{0}: {1}'.format(fault.path, fault.problem)
         for fault in documents.faults
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -222,3 +222,23 @@
     old = str(EXAMPLES / 'contract.yaml')
     shown = json.loads(run('contract', 'diff', old, path, '--json').output)
     assert shown == [{'term': 'p99_ms', 'old': '400', 'new': '300'}]
+
+
+def test_a_shard_that_no_listed_server_holds_is_named(tmp_path):
+    path = tmp_path / 'workload.yaml'
+    text = (EXAMPLES / 'workload.yaml').read_text()
+    path.write_text(text.replace('plovdiv-a.n1', 'plovdiv-a.n9'))
+    backends = str(EXAMPLES / 'backends.yaml')
+    outcome = run('contract', 'check', str(path), backends)
+    assert outcome.exit_code == 2
+    assert 'schemes-north: none of its servers' in outcome.output
+
+
+def test_every_derived_limit_is_explained():
+    names = ('contract', 'workload', 'vms')
+    files = [str(EXAMPLES / '{0}.yaml'.format(name)) for name in names]
+    shown = json.loads(run('contract', 'explain', *files, '--json').output)
+    limits = {limit['limit']: limit for limit in shown['limits']}
+    assert shown['sizes'] == {'data_centres': 1, 'vms': 1, 'shards': 2}
+    assert limits['queries_per_s']['value'] == 1000
+    assert all(limit['derived_from'] for limit in shown['limits'])
