--- /dev/null
+++ b/tools/matrix/__init__.py
@@ -0,0 +1,1 @@
+"""The fault matrix: which fault at which step a test proves harmless."""
