Silent connections are replaced and the server is not blamed for them

Cause: something between both ends may lose track of open connections while new ones work. An attempt on one of them waited for its whole deadline, and then looked like a slow server.

Change: after a second without a reply a search goes out once more on a new connection; whichever copy answers first counts, a refusal of the copy says nothing of the first, and the silent connection is closed. An action is never repeated; it only goes out on a connection that proved itself within the last second, or on a new one. A timeout on a connection that worked before is CONNECTION_SILENT, one on a new connection is held against the server. Idle connections that proved nothing since the send are closed with it.

Also mended: a timed-out attempt had a service time of 0; a connection given to a waiter cancelled at that moment was lost to the pool; a closed pool let attempts wait for their deadlines; a server's own close of an idle connection was counted by the stand-in before its socket was closed.

--- a/src/dandelionstage/backend/connection.py
+++ b/src/dandelionstage/backend/connection.py
@@ -1,8 +1,11 @@
 """The task that owns one connection to a backend server."""
 
 from collections.abc import Callable
+from dataclasses import replace
 from typing import Any, final
 
+import anyio
+
 from ..model.topology import BackendServer
 from ..model.verdict import Reason
 from .exchange import Exchange, Lost, Reply
@@ -40,6 +43,8 @@
         self._on_rest = on_rest
         self._line: Line | None = None
         self.inbox = Inbox()
+        self._scope = anyio.CancelScope()
+        self._is_proved = False
 
     @property
     def is_usable(self) -> bool:
@@ -51,10 +56,15 @@
     async def run(self) -> None:
         """Open, serve exchanges until retired, and close."""
         try:  # noqa: WPS501 -- the pool must hear of the end, errors pass
-            await self._work()
+            with self._scope:
+                await self._work()
         finally:
             self._end()
 
+    def abort(self) -> None:
+        """Close at once, in the middle of an exchange too."""
+        self._scope.cancel()
+
     async def _work(self) -> None:
         exchange = await self.inbox.next()
         if exchange is None:
@@ -68,9 +78,10 @@
             while exchange:
                 transfer = await line.post(exchange)
                 self.inbox.exchange = None
-                if not _settle(exchange, transfer) or not line.is_usable:
+                if not _settle(exchange, transfer, is_proved=self._is_proved):
                     return
                 if isinstance(transfer, Reply):
+                    self._is_proved = True
                     self.proved_at_ms = now_ms()
                 if not self.inbox.closed:
                     self._on_rest(self)
@@ -86,9 +97,21 @@
         self._on_rest(self)
 
 
-def _settle(exchange: Exchange[Any], transfer: Reply | Lost) -> bool:
-    """Pass the end on; ``False`` if the connection cannot be trusted."""
+def _settle(
+    exchange: Exchange[Any],
+    transfer: Reply | Lost,
+    *,
+    is_proved: bool,
+) -> bool:
+    """Pass the end on; ``False`` if the connection cannot be trusted.
+
+    :param is_proved: replies came on this connection before, so a silence is
+        not held against the server.
+    """
     if isinstance(transfer, Reply):
         return exchange.settle(now_ms() - transfer.service_ms, transfer)
+    sent = transfer.sent_at_ms is not None
+    if sent and is_proved and transfer.reason is Reason.DEADLINE_EXPIRED:
+        transfer = replace(transfer, reason=Reason.CONNECTION_SILENT)
     exchange.lose(transfer)
-    return transfer.sent_at_ms is None
+    return not sent
--- a/src/dandelionstage/backend/connection_set.py
+++ b/src/dandelionstage/backend/connection_set.py
@@ -31,11 +31,26 @@
         self._open: set[Connection] = set()
         self.idle: deque[Connection] = deque()
         self._waiting = WaitingLine()
+        self._closed = False
         self._empty = anyio.Event()
 
-    async def take(self, deadline_ms: float) -> Connection | None:
-        """Give a connection, waiting for one; ``None`` after the deadline."""
-        return self._take_now() or await self._waiting.wait(deadline_ms)
+    async def take(
+        self,
+        deadline_ms: float,
+        proved_since_ms: float,
+    ) -> Connection | None:
+        """Give a connection, waiting for one.
+
+        :param proved_since_ms: idle connections that proved nothing since
+            then are closed, so that a new one is opened; 0 for any.
+        :returns: ``None`` after the deadline or when closed.
+        """
+        if proved_since_ms:
+            retire_unproved(self, proved_since_ms)
+        connection = self._take_now()
+        if connection is not None or self._closed:
+            return connection
+        return await self._waiting.wait(deadline_ms)
 
     def rest(self, connection: Connection) -> None:
         """Take back a connection that has nothing to do, or has closed."""
@@ -43,7 +58,7 @@
             self._open.discard(connection)
             if connection in self.idle:
                 self.idle.remove(connection)
-        elif len(self._open) > self._allowance:
+        elif self._closed or len(self._open) > self._allowance:
             connection.inbox.close()
         else:
             self.idle.append(connection)
@@ -51,6 +66,8 @@
 
     def allow(self, allowance: int) -> None:
         """Change the allowance; idle connections above it are closed."""
+        if allowance == self._allowance:
+            return
         self._allowance = allowance
         surplus = max(0, len(self._open) - allowance)
         for connection in tuple(self.idle)[:surplus]:
@@ -59,8 +76,9 @@
 
     async def close(self) -> None:
         """Refuse to give any and wait until the last has closed."""
-        self.allow(0)
+        self._closed = True
         self._waiting.dismiss()
+        retire_unproved(self, now_ms())
         if self._open:
             await self._empty.wait()
 
@@ -70,7 +88,7 @@
             if connection.is_usable:
                 return connection
             connection.inbox.close()
-        if len(self._open) >= self._allowance:
+        if self._closed or len(self._open) >= self._allowance:
             return None
         connection = self._start()
         self._open.add(connection)
@@ -81,7 +99,7 @@
             connection = self._take_now()
             if connection is not None:
                 self._waiting.give(connection)
-        if not self._open and not self._allowance:
+        if self._closed and not self._open:
             self._empty.set()
 
 
--- a/src/dandelionstage/backend/exchange.py
+++ b/src/dandelionstage/backend/exchange.py
@@ -71,6 +71,11 @@
             Lost(Reason.INTERNAL_ERROR),
         )
 
+    @property
+    def is_out(self) -> bool:
+        """Whether it has not ended."""
+        return not self._done.is_set()
+
     def encode(self, now_ms: float) -> bytes:
         """Build the body right before it is sent."""
         return self._encode(self.deadline_ms - now_ms)
--- a/src/dandelionstage/backend/pool.py
+++ b/src/dandelionstage/backend/pool.py
@@ -14,6 +14,7 @@
 from .carrier import Carrier
 from .exchange import Exchange, Lost
 from .limits import ConnectionLimits, now_ms
+from .patience import Patience
 from .replies import read_cancelled, read_reply
 from .requests import encode_action, encode_cancel, encode_search
 
@@ -44,7 +45,7 @@
         :param allowance: most connections open at once.
         """
         self._backend = server.backend
-        self._cancel_ms = limits.cancel_ms
+        self._limits = limits
         self._carrier = Carrier(server, allowance, limits)
 
     async def __aenter__(self) -> Self:
@@ -72,13 +73,15 @@
         """
         started_ms = now_ms()
         encode = encode_action if sub_request.action else encode_search
-        exchange = Exchange(
+        make = partial(
+            Exchange[AttemptOutcome],
             _ACT if sub_request.action else _SEARCH,
             partial(encode, sub_request),
             partial(read_reply, sub_request, self._backend, started_ms),
             deadline_ms,
         )
-        end = await self._carrier.carry(exchange)
+        patience = Patience(self._carrier, self._limits, sub_request.action)
+        end = await patience.carry(make)
         if isinstance(end, Failure):
             return _give_up(
                 sub_request,
@@ -94,17 +97,18 @@
             _CANCEL,
             partial(encode_cancel, call),
             read_cancelled,
-            now_ms() + self._cancel_ms,
+            now_ms() + self._limits.cancel_ms,
         )
-        await self._carrier.carry(exchange)
+        await self._carrier.submit(exchange)
+        await exchange.wait()
 
     def set_allowance(self, allowance: int) -> None:
         """Change how many connections may be open at once."""
-        self._carrier.allow(allowance)
+        self._carrier.connections.allow(allowance)
 
     async def close(self) -> None:
         """Take nothing more and wait until what is out has ended."""
-        await self._carrier.close()
+        await self._carrier.connections.close()
 
 
 def _give_up(
@@ -113,11 +117,15 @@
     started_ms: float,
     lost: Lost,
 ) -> AttemptOutcome:
-    run = Run.NOT_RUN if lost.sent_at_ms is None else Run.MAY_HAVE_RUN
+    ended_ms = now_ms()
+    run = Run.MAY_HAVE_RUN
+    if lost.sent_at_ms is None:
+        run = Run.NOT_RUN
     verdict = Verdict(run, lost.reason, detail=lost.detail)
     return AttemptOutcome(
         sub_request.call,
         backend,
         verdict,
-        hop_ms=now_ms() - started_ms,
+        service_ms=ended_ms - (lost.sent_at_ms or ended_ms),
+        hop_ms=ended_ms - started_ms,
     )
--- a/src/dandelionstage/backend/waiting.py
+++ b/src/dandelionstage/backend/waiting.py
@@ -17,6 +17,12 @@
 class _Waiter:
     ready: anyio.Event = field(default_factory=anyio.Event)
     connection: Connection | None = None
+    taken: bool = False
+
+    async def wait(self, deadline_ms: float) -> None:
+        with anyio.CancelScope(deadline=deadline_ms / MS):
+            await self.ready.wait()
+        self.taken = True
 
 
 @final
@@ -37,11 +43,9 @@
         waiter = _Waiter()
         self._waiters.append(waiter)
         try:  # noqa: WPS501 -- leave the line, also when cancelled
-            with anyio.CancelScope(deadline=deadline_ms / MS):
-                await waiter.ready.wait()
+            await waiter.wait(deadline_ms)
         finally:
-            if waiter in self._waiters:
-                self._waiters.remove(waiter)
+            self._leave(waiter)
         return waiter.connection
 
     def give(self, connection: Connection) -> None:
@@ -54,3 +58,10 @@
         """Send everybody away with nothing."""
         while self._waiters:
             self._waiters.popleft().ready.set()
+
+    def _leave(self, waiter: _Waiter) -> None:
+        if waiter in self._waiters:
+            self._waiters.remove(waiter)
+        if waiter.connection is not None and not waiter.taken:
+            # Given at the very moment of being cancelled: nobody uses it.
+            waiter.connection.inbox.close()
--- a/tests/test_backend_pool.py
+++ b/tests/test_backend_pool.py
@@ -5,8 +5,11 @@
 
 import anyio
 import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
 from dandelionstage.backend.limits import ConnectionLimits, now_ms
+from dandelionstage.backend.line import open_line
 from dandelionstage.backend.pool import BackendPool
 from dandelionstage.model.contract import Priority
 from dandelionstage.model.ids import (
@@ -81,9 +84,9 @@
     return ('asyncio', {'use_uvloop': True})
 
 
-async def keep_outcome(pool, outcomes):
+async def keep_outcome(pool, outcomes, time_ms=9000):
     """Make one attempt and keep its outcome."""
-    outcomes.append(await pool.attempt(SEARCH, now_ms() + 9000))
+    outcomes.append(await pool.attempt(SEARCH, now_ms() + time_ms))
 
 
 async def until(happened):
@@ -199,3 +202,262 @@
         await pool.close()
         outcome = await pool.attempt(SEARCH, now_ms() + 10)
         assert outcome.verdict.run is Run.NOT_RUN
+
+
+async def silence_proved_connection(pool, server):
+    """Leave the pool with one connection that worked and went silent."""
+    outcome = await pool.attempt(SEARCH, now_ms() + 5000)
+    assert outcome.verdict.reason is Reason.OK
+    server.listener.obey(Faults(silence=Silence.OPEN))
+    # New connections work; those already open stay silent for good.
+    server.listener.obey(Faults())
+
+
+async def test_silent_connection_is_replaced_within_two_seconds():
+    async with pool_and_server() as (pool, server):
+        await silence_proved_connection(pool, server)
+        outcome = await pool.attempt(SEARCH, now_ms() + 60_000)
+        assert outcome.verdict.reason is Reason.OK
+        assert outcome.hop_ms < 2000
+        outcome = await pool.attempt(SEARCH, now_ms() + 60_000)
+        assert outcome.hop_ms < 500
+        await until(lambda: server.state.witness.connections.in_use == 1)
+        assert server.state.witness.opened_connections == 2
+
+
+async def test_silence_on_a_proved_connection_does_not_blame_the_server():
+    async with pool_and_server() as (pool, server):
+        await silence_proved_connection(pool, server)
+        outcome = await pool.attempt(SEARCH, now_ms() + 100)
+        assert outcome.verdict.reason is Reason.CONNECTION_SILENT
+        assert outcome.verdict.run is Run.MAY_HAVE_RUN
+        assert outcome.service_ms >= 50
+        outcome = await pool.attempt(SEARCH, now_ms() + 5000)
+        assert outcome.verdict.reason is Reason.OK
+
+
+async def test_timeout_retires_the_idle_connections_proved_before_it():
+    async with pool_and_server(slots=9) as (pool, server):
+        async with anyio.create_task_group() as tasks:
+            for _ in range(4):
+                tasks.start_soon(pool.attempt, SEARCH, now_ms() + 5000)
+        server.listener.obey(Faults(silence=Silence.OPEN))
+        server.listener.obey(Faults())
+        outcome = await pool.attempt(SEARCH, now_ms() + 100)
+        assert outcome.verdict.reason is Reason.CONNECTION_SILENT
+        await until(lambda: server.state.witness.connections.in_use == 0)
+
+
+async def test_server_silent_on_a_new_connection_too_is_blamed():
+    limits = ConnectionLimits(silent_ms=50)
+    async with pool_and_server(limits=limits) as (pool, server):
+        await silence_proved_connection(pool, server)
+        server.listener.obey(Faults(silence=Silence.ALL))
+        outcome = await pool.attempt(SEARCH, now_ms() + 200)
+        assert outcome.verdict.reason is Reason.DEADLINE_EXPIRED
+        assert server.state.witness.opened_connections == 2
+
+
+async def test_slow_reply_counts_though_the_copy_of_it_was_refused():
+    limits = ConnectionLimits(silent_ms=20)
+    async with pool_and_server(limits=limits, service_ms=100) as (pool, server):
+        outcomes = []
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(keep_outcome, pool, outcomes)
+            await until(lambda: server.state.witness.starts)
+            server.listener.obey(Faults(draining=True))
+        assert outcomes[0].verdict.reason is Reason.OK
+        assert server.state.witness.opened_connections == 2
+
+
+async def test_slow_reply_counts_though_the_copy_of_it_met_silence():
+    limits = ConnectionLimits(silent_ms=20)
+    async with pool_and_server(limits=limits, service_ms=100) as (pool, server):
+        outcomes = []
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(keep_outcome, pool, outcomes, 2000)
+            await until(lambda: server.state.witness.starts)
+            server.listener.obey(Faults(silence=Silence.NEW))
+        assert outcomes[0].verdict.reason is Reason.OK
+        assert outcomes[0].hop_ms < 1500
+
+
+async def test_expired_attempt_sends_nothing_and_keeps_the_connection():
+    async with pool_and_server() as (pool, server):
+        await pool.attempt(SEARCH, now_ms() + 5000)
+        outcome = await pool.attempt(SEARCH, now_ms())
+        assert outcome.verdict.reason is Reason.DEADLINE_EXPIRED
+        assert outcome.verdict.run is Run.NOT_RUN
+        await pool.attempt(SEARCH, now_ms() + 5000)
+        assert server.state.witness.opened_connections == 1
+
+
+@pytest.mark.parametrize(
+    'fault',
+    [
+        ReplyFault.MALFORMED,
+        ReplyFault.WRONG_CALL,
+        ReplyFault.WRONG_BACKEND,
+    ],
+)
+async def test_connection_with_a_bad_reply_is_not_used_again(fault):
+    async with pool_and_server() as (pool, server):
+        server.listener.obey(Faults(reply_fault=fault, reply_fault_count=1))
+        outcome = await pool.attempt(SEARCH, now_ms() + 5000)
+        assert outcome.verdict.reason is Reason.BAD_REPLY
+        outcome = await pool.attempt(SEARCH, now_ms() + 5000)
+        assert outcome.verdict.reason is Reason.OK
+        assert server.state.witness.opened_connections == 2
+
+
+async def test_action_is_never_sent_twice():
+    limits = ConnectionLimits(silent_ms=20)
+    async with pool_and_server(limits=limits) as (pool, server):
+        server.listener.obey(Faults(reply_fault=ReplyFault.WITHHELD))
+        outcome = await pool.attempt(ACTION, now_ms() + 200)
+        assert outcome.verdict.run is Run.MAY_HAVE_RUN
+        assert server.state.witness.starts == 1
+
+
+async def test_action_avoids_a_connection_that_did_not_prove_itself_lately():
+    limits = ConnectionLimits(fresh_ms=0)
+    async with pool_and_server(limits=limits, allowance=1) as (pool, server):
+        await silence_proved_connection(pool, server)
+        outcome = await pool.attempt(ACTION, now_ms() + 5000)
+        assert outcome.verdict.run is Run.RAN
+        assert server.state.witness.starts == 2
+
+
+async def test_connection_closed_while_idle_is_not_used():
+    async with pool_and_server() as (pool, server):
+        await pool.attempt(SEARCH, now_ms() + 5000)
+        server.listener.obey(Faults(hang_up=True))
+        await until(lambda: server.state.witness.connections.in_use == 0)
+        outcome = await pool.attempt(ACTION, now_ms() + 5000)
+        assert outcome.verdict.run is Run.RAN
+
+
+async def test_connection_closed_while_running_leaves_doubt():
+    async with pool_and_server(service_ms=5000) as (pool, server):
+        outcomes = []
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(keep_outcome, pool, outcomes)
+            await until(lambda: server.state.witness.starts)
+            server.listener.obey(Faults(hang_up=True))
+        assert outcomes[0].verdict.reason is Reason.CONNECTION_LOST
+        assert outcomes[0].verdict.run is Run.MAY_HAVE_RUN
+
+
+async def test_repeated_reply_is_never_anothers_answer():
+    async with pool_and_server() as (pool, server):
+        server.listener.obey(
+            Faults(reply_fault=ReplyFault.REPEATED, reply_fault_count=1),
+        )
+        await pool.attempt(SEARCH, now_ms() + 5000)
+        other = replace(SEARCH, call='c-2')
+        outcome = await pool.attempt(other, now_ms() + 5000)
+        assert outcome.verdict.reason in {Reason.OK, Reason.BAD_REPLY}
+        outcome = await pool.attempt(other, now_ms() + 5000)
+        assert outcome.verdict.reason is Reason.OK
+
+
+async def test_too_long_reply_is_refused():
+    limits = ConnectionLimits(max_reply_bytes=100)
+    async with pool_and_server(limits=limits) as (pool, _):
+        outcome = await pool.attempt(SEARCH, now_ms() + 5000)
+        assert outcome.verdict.reason is Reason.BAD_REPLY
+        assert outcome.verdict.run is Run.MAY_HAVE_RUN
+
+
+async def test_attempt_cut_by_the_end_of_the_pool_leaves_doubt():
+    outcomes = []
+    async with anyio.create_task_group() as tasks:
+        async with pool_and_server(service_ms=5000) as (pool, server):
+            tasks.start_soon(keep_outcome, pool, outcomes)
+            await until(lambda: server.state.witness.starts)
+    assert outcomes[0].verdict.run is Run.MAY_HAVE_RUN
+
+
+async def test_closing_waits_for_what_is_out_and_takes_nothing_new():
+    async with pool_and_server(service_ms=50) as (pool, server):
+        outcomes = []
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(keep_outcome, pool, outcomes)
+            await until(lambda: server.state.witness.starts)
+            await pool.close()
+            late = await pool.attempt(SEARCH, now_ms() + 5000)
+        assert outcomes[0].verdict.run is Run.RAN
+        assert late.verdict.run is Run.NOT_RUN
+
+
+async def test_process_paused_before_the_send_sends_nothing():
+    async with pool_and_server() as (_, server):
+        address = BackendServer(
+            backend='b-1',
+            host='127.0.0.1',
+            port=server.port,
+            slots=2,
+            max_connections=50,
+        )
+        line = await open_line(address, ConnectionLimits(), now_ms() + 5000)
+        async with line:
+            lost = await line.post(PausedExchange(now_ms() + 20))
+        assert lost.reason is Reason.DEADLINE_EXPIRED
+        assert lost.sent_at_ms is None
+
+
+class PausedExchange:
+    """An exchange while whose body is built the process stands still."""
+
+    target = b'/v1/search'
+
+    def __init__(self, deadline_ms):
+        self.deadline_ms = deadline_ms
+
+    def encode(self, _now_ms):
+        """Stand still until the deadline has passed."""
+        body = b'{}'
+        while now_ms() < self.deadline_ms:
+            body = body.ljust(3)
+        return body
+
+
+_FAULTS = st.builds(
+    Faults,
+    slow_factor=st.sampled_from([1, 100]),
+    draining=st.booleans(),
+    silence=st.sampled_from(Silence),
+    reply_fault=st.sampled_from(ReplyFault),
+    refuse=st.sampled_from([None, None, None, 'error']),
+    hang_up=st.booleans(),
+)
+
+
+@settings(max_examples=60, deadline=None)
+@given(steps=st.lists(st.tuples(_FAULTS, st.booleans()), max_size=6))
+def test_verdicts_agree_with_the_witness(steps):
+    anyio.run(check_verdicts, steps, backend_options={'use_uvloop': True})
+
+
+async def check_verdicts(steps):
+    """Compare each verdict with what the server's own log says."""
+    limits = ConnectionLimits(silent_ms=5)
+    async with pool_and_server(service_ms=1, limits=limits) as (pool, server):
+        for number, (faults, is_action) in enumerate(steps):
+            server.listener.obey(faults)
+            sub_request = replace(
+                ACTION if is_action else SEARCH,
+                call='c-{0}'.format(number),
+            )
+            outcome = await pool.attempt(sub_request, now_ms() + 20)
+            events = [
+                sighting.event
+                for sighting in server.state.witness.sightings
+                if sighting.call == sub_request.call
+            ]
+            if outcome.verdict.run is Run.NOT_RUN:
+                assert 'start' not in events
+            if outcome.verdict.run is Run.RAN:
+                assert 'run' in events
+            if is_action:
+                assert events.count('start') <= 1
--- a/tools/standins/backend/faults.py
+++ b/tools/standins/backend/faults.py
@@ -17,6 +17,7 @@
     NONE = 'none'
     # Those open when the command came, for good; new ones work.
     OPEN = 'open'
+    NEW = 'new'
     ALL = 'all'
 
 
@@ -31,6 +32,7 @@
     MALFORMED = 'malformed'
     REPEATED = 'repeated'
     WRONG_CALL = 'wrong_call'
+    WRONG_BACKEND = 'wrong_backend'
     WRONG_SNAPSHOT = 'wrong_snapshot'
     WRONG_SHARD = 'wrong_shard'
 
@@ -47,6 +49,7 @@
     :ivar reply_fault_count: to how many of the next replies.
     :ivar refuse: reason given to every call instead of running it.
     :ivar refuse_run: whether that refusal says that the call may have run.
+    :ivar hang_up: closes every connection open when the command came.
     :ivar gone_snapshots: snapshots no longer held.
     :ivar straddling: records that each of several shards returns.
     """
@@ -61,5 +64,6 @@
     reply_fault_count: int = _ALL_REPLIES
     refuse: str | None = None
     refuse_run: str = 'not_run'
+    hang_up: bool = False
     gone_snapshots: tuple[str, ...] = ()
     straddling: dict[str, tuple[str, ...]] = Field(default_factory=dict)
--- a/tools/standins/backend/listener.py
+++ b/tools/standins/backend/listener.py
@@ -33,12 +33,13 @@
     async def accept(self, stream: SocketStream) -> None:
         """Serve one connection, or close it if the server is full."""
         connections = self._state.witness.connections
-        async with stream:
-            if connections.in_use >= self._state.setup.max_connections:
-                self._state.witness.refused_connections += 1
-                return
-            door = _Door(self, self._state, stream)
-            with self._standing(door):
+        if connections.in_use >= self._state.setup.max_connections:
+            self._state.witness.refused_connections += 1
+            await stream.aclose()
+            return
+        door = _Door(self, self._state, stream)
+        with self._standing(door):
+            async with stream:
                 await door.serve()
 
     def control(self, request: HttpRequest) -> HttpReply:
@@ -55,8 +56,9 @@
     def obey(self, faults: Faults) -> None:
         """Replace all faults in force; silence falls at once."""
         self._state.obey(faults)
-        if faults.silence is not Silence.NONE:
-            self._hush()
+        for door in self._doors:
+            if not door.control:
+                door.obey(faults)
 
     @contextmanager
     def _standing(self, door: '_Door') -> Iterator[None]:
@@ -70,11 +72,6 @@
             self._doors.discard(door)
             connections.in_use -= not door.control
 
-    def _hush(self) -> None:
-        for door in self._doors:
-            if not door.control:
-                door.hush()
-
 
 @final
 class _Door:
@@ -90,7 +87,7 @@
         self._listener = listener
         self._state = state
         self._stream = stream
-        self._silent = state.faults.silence is Silence.ALL
+        self._silent = state.faults.silence in {Silence.NEW, Silence.ALL}
         self._busy = False
         self._scope = anyio.CancelScope()
 
@@ -103,10 +100,14 @@
         if self._silent:
             await swallow(self._stream)
 
-    def hush(self) -> None:
-        """Go silent for good; a call that runs still runs to its end."""
-        self._silent = True
-        if not self._busy:
+    def obey(self, faults: Faults) -> None:
+        """Go silent for good, or close.
+
+        A call that runs while its connection falls silent runs to its end.
+        """
+        if faults.silence in {Silence.OPEN, Silence.ALL}:
+            self._silent = True
+        if faults.hang_up or (self._silent and not self._busy):
             self._scope.cancel()
 
     async def _handle(self, request: HttpRequest) -> HttpReply:
--- a/tools/standins/backend/replies.py
+++ b/tools/standins/backend/replies.py
@@ -38,6 +38,7 @@
 _WRONG_FIELD: Final[Mapping[ReplyFault, str]] = MappingProxyType(
     {
         ReplyFault.WRONG_CALL: 'call',
+        ReplyFault.WRONG_BACKEND: 'backend',
         ReplyFault.WRONG_SNAPSHOT: 'snapshot',
         ReplyFault.WRONG_SHARD: 'shard',
     },
