--- a/src/dandelionstage/daemon/daemon.py
+++ b/src/dandelionstage/daemon/daemon.py
@@ -9,8 +9,10 @@
 from ..operations.admin import Readiness, admin_app
 from ..settings.model import Settings
 from .caller_interface import build_caller_app
+from .control import Control, service_url
 from .listeners import listen_http, listen_inner
 from .node import Node
+from .service_client import ServiceClient
 from .status_page import admin_sources
 
 __all__ = ('run_daemon',)
@@ -24,10 +26,13 @@
     stopped = anyio.Event()
     async with anyio.create_task_group() as group:
         node = Node(settings, group)
-        async with node.peers:
+        client = ServiceClient(service_url(settings))
+        async with node.peers, client:
+            control = Control(node, settings, client)
             group.start_soon(_watch_signals, stopped)
             _start_inner(node, settings, group)
-            await _listen(node, settings, stopped)
+            control.start(group)
+            await _listen(node, control, settings, stopped)
         group.cancel_scope.cancel()
 
 
@@ -43,6 +48,7 @@
 
 async def _listen(
     node: Node,
+    control: Control,
     settings: Settings,
     stopped: anyio.Event,
 ) -> None:
@@ -50,7 +56,7 @@
     sources = admin_sources(
         node,
         lambda: 'stopping' if stopped.is_set() else 'serving',
-        lambda: _readiness(node, stopped),
+        lambda: _readiness(control, stopped),
     )
     callers = build_caller_app(node, settings, lambda: not stopped.is_set())
     host = str(settings.host)
@@ -74,10 +80,10 @@
         finished.set()
 
 
-def _readiness(node: Node, stopped: anyio.Event) -> Readiness:
+def _readiness(control: Control, stopped: anyio.Event) -> Readiness:
     if stopped.is_set():
         return Readiness(ready=False, detail='stopping')
-    if not node.facts.topology().contracts:
+    if not control.configuration.ready():
         return Readiness(ready=False, detail='no configuration yet')
     return Readiness(ready=True)
 
