Actions by ticket and the planned stop, wired into the daemon

Cause: actions and the stop sequence were decided but not carried out. Ruled out: dropping a finished action's calls at once, since a late reply can still make a doubtful outcome certain; forwarding a call only once, since its ticket makes repeats harmless and a lost link would leave a doubt for nothing.

--- a/src/dandelionstage/daemon/daemon.py
+++ b/src/dandelionstage/daemon/daemon.py
@@ -1,94 +1,108 @@
 """Runs a daemon from its start to the end of a planned stop."""
 
-import signal
-from typing import Final
+from typing import Final, final
 
 import anyio
 from anyio.abc import TaskGroup
 
+from ..lifecycle.stopping import StopLimits, StopState
 from ..operations.admin import Readiness, admin_app
 from ..settings.model import Settings
-from .caller_interface import build_caller_app
+from .caller_interface import CallerServices
+from .callers import InFlight
 from .control import Control, service_url
 from .listeners import listen_http, listen_inner
 from .node import Node
 from .service_client import ServiceClient
 from .status_page import admin_sources
+from .stop_service import StopService
 
 __all__ = ('run_daemon',)
 
-_MS_PER_S: Final = 1000
-_OPERATOR_GRACE_S: Final = 1
+#: The stop sequence has waited by then; this only ends idle connections.
+_GRACE_S: Final = 1
 
 
 async def run_daemon(settings: Settings) -> None:
     """Serve until told to stop, then finish what is in flight."""
-    stopped = anyio.Event()
     async with anyio.create_task_group() as group:
         node = Node(settings, group)
         client = ServiceClient(service_url(settings))
         async with node.peers, client:
-            control = Control(node, settings, client)
-            group.start_soon(_watch_signals, stopped)
-            _start_inner(node, settings, group)
-            control.start(group)
-            await _listen(node, control, settings, stopped)
+            daemon = _Daemon(node, settings, group, client)
+            daemon.start(group)
+            await daemon.listen()
         group.cancel_scope.cancel()
 
 
-def _start_inner(node: Node, settings: Settings, group: TaskGroup) -> None:
-    group.start_soon(
-        listen_inner,
-        node.peers.accept,
-        str(settings.host),
-        settings.inner_port,
-    )
-    group.start_soon(node.owner.run)
+@final
+class _Daemon:
+    """The services of one daemon and the ports they are reached by."""
 
-
-async def _listen(
-    node: Node,
-    control: Control,
-    settings: Settings,
-    stopped: anyio.Event,
-) -> None:
-    """Serve callers until the stop, and operators until that is done."""
-    sources = admin_sources(
-        node,
-        lambda: 'stopping' if stopped.is_set() else 'serving',
-        lambda: _readiness(control, stopped),
-    )
-    callers = build_caller_app(node, settings, lambda: not stopped.is_set())
-    host = str(settings.host)
-    finished = anyio.Event()
-    async with anyio.create_task_group() as operators:
-        operators.start_soon(
-            listen_http,
-            admin_app(sources),
-            host,
-            settings.operator_port,
-            finished,
-            _OPERATOR_GRACE_S,
+    def __init__(
+        self,
+        node: Node,
+        settings: Settings,
+        group: TaskGroup,
+        client: ServiceClient,
+    ) -> None:
+        self._node = node
+        self._settings = settings
+        self._control = Control(node, settings, client)
+        services = CallerServices(node, settings, group)
+        self._callers = InFlight(
+            services.app(lambda: self._stop.accepts_new),
+            lambda: self._stop.state is StopState.SERVING,
         )
-        await listen_http(
-            callers,
-            host,
-            settings.caller_port,
-            stopped,
-            settings.bounds.stop_ms / _MS_PER_S,
+        self._stop = StopService(
+            node,
+            StopLimits(draining_ms=settings.bounds.stop_ms),
+            lambda: self._callers.count + node.owner.owner.pending(),
+            services.minting.open_tickets,
         )
-        finished.set()
-
+        node.accepts_new = lambda: self._stop.accepts_new
 
-def _readiness(control: Control, stopped: anyio.Event) -> Readiness:
-    if stopped.is_set():
-        return Readiness(ready=False, detail='stopping')
-    if not control.configuration.ready():
-        return Readiness(ready=False, detail='no configuration yet')
-    return Readiness(ready=True)
+    def start(self, group: TaskGroup) -> None:
+        """Run everything but the HTTP ports."""
+        group.start_soon(self._stop.run)
+        group.start_soon(self._node.owner.run)
+        group.start_soon(
+            listen_inner,
+            self._node.peers.accept,
+            str(self._settings.host),
+            self._settings.inner_port,
+        )
+        self._control.start(group)
 
+    async def listen(self) -> None:
+        """Serve callers until the stop, and operators until that is done."""
+        host = str(self._settings.host)
+        finished = anyio.Event()
+        sources = admin_sources(
+            self._node,
+            lambda: self._stop.state.value,
+            self._readiness,
+        )
+        async with anyio.create_task_group() as operators:
+            operators.start_soon(
+                listen_http,
+                admin_app(sources),
+                (host, self._settings.operator_port),
+                finished,
+                _GRACE_S,
+            )
+            await listen_http(
+                self._callers,
+                (host, self._settings.caller_port),
+                self._stop.closed,
+                _GRACE_S,
+            )
+            finished.set()
 
-async def _watch_signals(stopped: anyio.Event) -> None:
-    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-        async for _ in signals:
-            stopped.set()
+    def _readiness(self) -> Readiness:
+        state = self._stop.state
+        if state is not StopState.SERVING:
+            return Readiness(ready=False, detail=state.value)
+        if not self._control.configuration.ready():
+            return Readiness(ready=False, detail='no configuration yet')
+        return Readiness(ready=True)
--- a/src/dandelionstage/daemon/dispatch.py
+++ b/src/dandelionstage/daemon/dispatch.py
@@ -7,6 +7,7 @@
 
 from ..inner.link import Link
 from ..inner.messages import InnerMessage
+from ..inner.outbox import CallMessage
 
 __all__ = ('Dispatch',)
 
@@ -20,6 +21,7 @@
     def __init__(self) -> None:
         """Start without handlers; messages without one are ignored."""
         self._handlers: dict[type, Callable[[Link, Any], None]] = {}
+        self._losses: dict[type, Callable[[Link, Any, bool], None]] = {}
 
     def register(
         self,
@@ -29,6 +31,20 @@
         """Let a handler take every message of a type."""
         self._handlers[kind] = handler
 
+    def register_loss(
+        self,
+        kind: type[_Kind],
+        handler: Callable[[Link, _Kind, bool], None],
+    ) -> None:
+        """Let a handler hear of each call of a type that gets no reply."""
+        self._losses[kind] = handler
+
+    def lose(self, link: Link, call: CallMessage, sent: bool) -> None:
+        """Tell whoever sent a call that it gets no reply."""
+        handler = self._losses.get(type(call))
+        if handler is not None:
+            handler(link, call, sent)
+
     def take(self, link: Link, message: InnerMessage) -> None:
         """Hand a message over; a handler's defect harms only its message."""
         handler = self._handlers.get(type(message))
--- a/src/dandelionstage/daemon/listeners.py
+++ b/src/dandelionstage/daemon/listeners.py
@@ -8,7 +8,7 @@
 from anyio.abc import SocketStream
 from hypercorn.asyncio import serve
 from hypercorn.config import Config
-from starlette.applications import Starlette
+from starlette.types import ASGIApp
 
 __all__ = ('listen_http', 'listen_inner')
 
@@ -20,9 +20,8 @@
 
 
 async def listen_http(
-    app: Starlette,
-    host: str,
-    port: int,
+    app: ASGIApp,
+    address: tuple[str, int],
     stopped: anyio.Event,
     grace_s: float,
 ) -> None:
@@ -31,7 +30,7 @@
     :param grace_s: a request that takes longer after the event is cut.
     """
     config = Config()
-    config.bind = ['{0}:{1}'.format(host, port)]
+    config.bind = ['{0}:{1}'.format(*address)]
     config.backlog = _BACKLOG
     config.graceful_timeout = grace_s
     config.shutdown_timeout = grace_s
--- a/src/dandelionstage/daemon/node.py
+++ b/src/dandelionstage/daemon/node.py
@@ -1,5 +1,6 @@
 """Joins the parts of a daemon; each part knows only what it is given."""
 
+from collections.abc import Callable
 from random import SystemRandom
 from typing import Final, final
 
@@ -10,11 +11,10 @@
 from ..inner.link import Link, LinkEnd, LinkHandlers
 from ..inner.link_table import LinkTable
 from ..inner.messages import CancelCall
-from ..inner.outbox import CallMessage
 from ..inner.peers import PeerLinks
 from ..membership.members import Members
 from ..membership.messages import Identity
-from ..model.ids import VmId
+from ..model.ids import Incarnation, VmId
 from ..model.messages import SubReply, SubRequest
 from ..operations.metrics import Metrics
 from ..owner.owner import Owner
@@ -42,6 +42,7 @@
     :ivar facts: what it knows of the fleet.
     :ivar dispatch: takes further handlers of inner messages.
     :ivar peers: its links; a context manager, entered by the daemon.
+    :ivar accepts_new: false once a planned stop takes no new queue entries.
     """
 
     def __init__(self, settings: Settings, group: TaskGroup) -> None:
@@ -52,19 +53,40 @@
         self.greeting = new_greeting(settings)
         self.metrics = Metrics()
         self.random = SystemRandom()
+        self.accepts_new: Callable[[], bool] = lambda: True
         self.dispatch = Dispatch()
         self.facts = self._know(settings)
         self.peers = PeerLinks(self._link_table(), self.facts.address_of)
         self.owner = self._own(group)
         self.runner = self._run()
-        self._inbound = InboundCalls(self.owner)
+        self._inbound = InboundCalls(
+            settings.vm,
+            self.owner,
+            lambda: self.accepts_new(),
+        )
         self.dispatch.register(SubRequest, self._inbound.take)
         self.dispatch.register(CancelCall, self._inbound.cancel)
+        self.dispatch.register_loss(
+            SubRequest,
+            lambda link, request, sent: self.runner.take_lost(
+                link.peer or _UNKNOWN_VM,
+                request,
+                sent=sent,
+            ),
+        )
         self.dispatch.register(
             SubReply,
             lambda _, reply: self.runner.take_reply(reply),
         )
 
+    def incarnation_of(self, vm: VmId) -> Incarnation | None:
+        """Give the highest incarnation heard of, ``None`` if unknown."""
+        if vm == self.greeting.vm:
+            return self.greeting.incarnation
+        if self.facts.address_of(vm) is None:
+            return None
+        return self.facts.members.incarnation_of(vm)
+
     def _know(self, settings: Settings) -> Facts:
         store = DocumentStore()
         identity = Identity(
@@ -76,7 +98,11 @@
         return Facts(settings, store, members)
 
     def _link_table(self) -> LinkTable:
-        handlers = LinkHandlers(self.dispatch.take, self._lose, self._end)
+        handlers = LinkHandlers(
+            self.dispatch.take,
+            self.dispatch.lose,
+            self._end,
+        )
         return LinkTable(self.greeting, handlers, monotonic_ms)
 
     def _own(self, group: TaskGroup) -> OwnerService:
@@ -100,9 +126,5 @@
         )
         return ExecutionRunner(courier, monotonic_ms)
 
-    def _lose(self, link: Link, call: CallMessage, sent: bool) -> None:
-        if isinstance(call, SubRequest):
-            self.runner.take_lost(link.peer or _UNKNOWN_VM, call, sent=sent)
-
     def _end(self, link: Link, end: LinkEnd) -> None:
         self._inbound.drop(link)
--- a/src/dandelionstage/entry/app.py
+++ b/src/dandelionstage/entry/app.py
@@ -1,10 +1,11 @@
 """The ASGI application for callers."""
 
 from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
 from typing import Final, TypeVar, final
 
 from loguru import logger
-from returns.result import Failure, Result, Success
+from returns.result import Failure, Result
 from starlette.applications import Starlette
 from starlette.requests import Request
 from starlette.responses import Response
@@ -15,10 +16,16 @@
 from ..model.verdict import Reason, Run, Verdict
 from ..operations.logs import request_context
 from ..operations.metrics import Metrics
+from .action_service import ActionService
 from .arrivals import Arrival, Gatekeeper
-from .bodies import CallerBody, QueryBody
+from .bodies import ActionBody, CallerBody, QueryBody, TicketBody
 from .query_service import QueryService
-from .responses import answer_response, refusal_response
+from .responses import (
+    answer_response,
+    outcome_response,
+    refusal_response,
+    ticket_response,
+)
 
 __all__ = ('CallerApi', 'caller_app')
 
@@ -30,63 +37,98 @@
 
 
 @final
+@dataclass(frozen=True, slots=True)
 class CallerApi:
-    """Answers callers; whatever goes wrong, the reply is typed."""
+    """Answers callers; whatever goes wrong, the reply is typed.
 
-    def __init__(
-        self,
-        gatekeeper: Gatekeeper,
-        queries: QueryService,
-        metrics: Metrics,
-        wall_s: Callable[[], float],
-    ) -> None:
-        """Join the services that answer.
-
-        :param wall_s: seconds since 1970, to state a snapshot's age.
-        """
-        self._gatekeeper = gatekeeper
-        self._queries = queries
-        self._metrics = metrics
-        self._wall_s = wall_s
+    :ivar wall_s: seconds since 1970, to state a snapshot's age.
+    """
+
+    gatekeeper: Gatekeeper
+    queries: QueryService
+    actions: ActionService
+    metrics: Metrics
+    wall_s: Callable[[], float]
 
     async def query(self, request: Request) -> Response:
         """Serve ``POST /v1/query``."""
-        arrival = await self._gatekeeper.admit(
-            request,
-            WorkloadKind.SEARCH,
-            QueryBody,
+        return await self._serve(
+            await self.gatekeeper.admit(
+                request,
+                WorkloadKind.SEARCH,
+                QueryBody,
+            ),
+            self._answer,
+        )
+
+    async def mint(self, request: Request) -> Response:
+        """Serve ``POST /v1/tickets``."""
+        return await self._serve(
+            await self.gatekeeper.admit(
+                request,
+                WorkloadKind.ACTIONS,
+                TicketBody,
+            ),
+            self._mint,
+        )
+
+    async def act(self, request: Request) -> Response:
+        """Serve ``POST /v1/actions``."""
+        return await self._serve(
+            await self.gatekeeper.admit(
+                request,
+                WorkloadKind.ACTIONS,
+                ActionBody,
+            ),
+            self._act,
         )
-        return await self._serve(arrival, self._answer)
 
     async def _serve(
         self,
         arrival: Result[Arrival[_AnyBody], Verdict],
         handle: _Handler[_AnyBody],
     ) -> Response:
-        match arrival:
-            case Success(admitted):
-                with request_context(admitted.request):
-                    return await _guard(admitted, handle)
-            case Failure(verdict):
-                self._metrics.count_refusal(verdict.reason, _NOBODY)
-                return refusal_response(RequestId(''), verdict)
-        raise AssertionError('a result is a success or a failure')
+        if isinstance(arrival, Failure):
+            verdict = arrival.failure()
+            self.metrics.count_refusal(verdict.reason, _NOBODY)
+            return refusal_response(RequestId(''), verdict)
+        admitted = arrival.unwrap()
+        with request_context(admitted.request):
+            return await _guard(admitted, handle)
 
     async def _answer(self, arrival: Arrival[QueryBody]) -> Response:
-        answer = await self._queries.answer(arrival)
+        answer = await self.queries.answer(arrival)
         if answer.verdict.reason is Reason.OK:
-            return answer_response(arrival.request, answer, self._wall_s())
-        self._metrics.count_refusal(
-            answer.verdict.reason,
-            arrival.contract.customer,
-        )
+            return answer_response(arrival.request, answer, self.wall_s())
+        customer = arrival.contract.customer
+        self.metrics.count_refusal(answer.verdict.reason, customer)
         return refusal_response(arrival.request, answer.verdict)
 
+    async def _mint(self, arrival: Arrival[TicketBody]) -> Response:
+        minted = self.actions.mint(arrival)
+        if isinstance(minted, Failure):
+            verdict = minted.failure()
+            customer = arrival.contract.customer
+            self.metrics.count_refusal(verdict.reason, customer)
+            return refusal_response(arrival.request, verdict)
+        return ticket_response(minted.unwrap(), self.actions.lifetime_ms)
+
+    async def _act(self, arrival: Arrival[ActionBody]) -> Response:
+        ticket, outcome = await self.actions.act(arrival)
+        if outcome.verdict.reason is not Reason.OK:
+            customer = arrival.contract.customer
+            self.metrics.count_refusal(outcome.verdict.reason, customer)
+        return outcome_response(arrival.request, ticket, outcome)
+
 
 def caller_app(api: CallerApi) -> Starlette:
     """Build the ASGI application for the caller port."""
     return Starlette(
-        routes=[Route('/v1/query', api.query, methods=['POST'])],
+        routes=[
+            Route('/v1/query', api.query, methods=['POST']),
+            Route('/v1/tickets', api.mint, methods=['POST']),
+            Route('/v1/actions', api.act, methods=['POST']),
+        ],
     )
 
 
--- a/src/dandelionstage/entry/runner.py
+++ b/src/dandelionstage/entry/runner.py
@@ -1,11 +1,13 @@
 """Runs executions: carries their commands out and replies back in."""
 
+from collections import deque
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from typing import Any, Final, Generic, Protocol, TypeVar, final
 
 import anyio
 
+from ..actions.messages import SendAction
 from ..model.ids import CallId, VmId
 from ..model.messages import SubReply, SubRequest
 from ..model.verdict import Reason, Run, Verdict
@@ -14,10 +16,14 @@
 __all__ = ('Courier', 'Execution', 'ExecutionRunner')
 
 _MS_PER_S: Final = 1000
+#: A reply that comes this long after the end may still be of use.
+_LATE_MS: Final = 30_000
 
 _Finish = TypeVar('_Finish')
 _FinishOut = TypeVar('_FinishOut', covariant=True)
 
+_Command = SendSubRequest | CancelSubRequest | SendAction
+
 
 @final
 @dataclass(frozen=True, slots=True)
@@ -35,23 +41,17 @@
 class Execution(Protocol[_FinishOut]):
     """Decides what one request does next; its last command finishes it."""
 
-    def start(
-        self,
-        now_ms: float,
-    ) -> 'Iterable[SendSubRequest | CancelSubRequest | _FinishOut]':
+    def start(self, now_ms: float) -> 'Iterable[_Command | _FinishOut]':
         """Begin."""
 
     def receive(
         self,
         reply: SubReply,
         now_ms: float,
-    ) -> 'Iterable[SendSubRequest | CancelSubRequest | _FinishOut]':
+    ) -> 'Iterable[_Command | _FinishOut]':
         """Take in the end of one attempt."""
 
-    def wake(
-        self,
-        now_ms: float,
-    ) -> 'Iterable[SendSubRequest | CancelSubRequest | _FinishOut]':
+    def wake(self, now_ms: float) -> 'Iterable[_Command | _FinishOut]':
         """Do what is due."""
 
     def next_wakeup_ms(self) -> float | None:
@@ -63,35 +63,40 @@
     """Runs any number of executions over one courier.
 
     :ivar dropped: replies to no call that is waited for.
+    :ivar clock: reads the monotonic clock in milliseconds.
     """
 
     def __init__(self, courier: Courier, clock: Callable[[], float]) -> None:
         """Run nothing yet."""
         self.dropped = 0
         self._courier = courier
-        self._clock = clock
-        self._owners: dict[CallId, _Running[Any]] = {}
+        self.clock = clock
+        self._waiting: dict[CallId, _Running[Any]] = {}
+        self._ended: '_Ended' = deque()
 
-    def running(self) -> int:
-        """Count the calls that are waited for."""
-        return len(self._owners)
+    async def run(
+        self,
+        execution: Execution[_Finish],
+        on_late: Callable[[_Finish], None] | None = None,
+    ) -> _Finish:
+        """Run an execution to its end and return its last command.
 
-    async def run(self, execution: Execution[_Finish]) -> _Finish:
-        """Run an execution to its end and return its last command."""
-        running = _Running(execution)
+        :param on_late: takes a further last command, if a reply that comes
+            after the end still changes it.
+        """
+        running = _Running(execution, on_late)
         try:
             return await self._drive(running)
         finally:
-            for call in running.calls:
-                self._owners.pop(call, None)
+            self._forget(running)
 
     def take_reply(self, reply: SubReply) -> None:
         """Hand a reply to the execution that waits for it."""
-        running = self._owners.get(reply.call)
+        running = self._waiting.get(reply.call)
         if running is None:
             self.dropped += 1
             return
-        commands = running.execution.receive(reply, self._clock())
+        commands = running.execution.receive(reply, self.clock())
         self._apply(running, commands)
         running.changed.set()
 
@@ -105,37 +110,51 @@
         self.take_reply(SubReply(request.call, verdict, vm))
 
     async def _drive(self, running: '_Running[_Finish]') -> _Finish:
-        self._apply(running, running.execution.start(self._clock()))
+        self._apply(running, running.execution.start(self.clock()))
         while running.finish is None:
-            await running.sleep(self._clock())
+            await running.sleep(self.clock())
             if running.finish is None:
-                commands = running.execution.wake(self._clock())
+                commands = running.execution.wake(self.clock())
                 self._apply(running, commands)
         return running.finish
 
     def _apply(
         self,
         running: '_Running[_Finish]',
-        commands: 'Iterable[SendSubRequest | CancelSubRequest | _Finish]',
+        commands: 'Iterable[_Command | _Finish]',
     ) -> None:
         for command in commands:
-            if isinstance(command, SendSubRequest):
+            if isinstance(command, SendSubRequest | SendAction):
                 call = command.sub_request.call
                 running.calls.append(call)
-                self._owners[call] = running
+                self._waiting[call] = running
                 self._courier.send(command.vm, command.sub_request)
             elif isinstance(command, CancelSubRequest):
                 self._courier.cancel(command.vm, command.call)
             else:
-                running.finish = command
+                running.end(command)
+
+    def _forget(self, running: '_Running[_Finish]') -> None:
+        now_ms = self.clock()
+        if running.on_late is None:
+            running.drop_from(self._waiting)
+        else:
+            self._ended.append((now_ms + _LATE_MS, running))
+        while self._ended and self._ended[0][0] <= now_ms:
+            self._ended.popleft()[1].drop_from(self._waiting)
 
 
 @final
 class _Running(Generic[_Finish]):
     """One execution and the task that waits for it."""
 
-    def __init__(self, execution: Execution[_Finish]) -> None:
+    def __init__(
+        self,
+        execution: Execution[_Finish],
+        on_late: Callable[[_Finish], None] | None,
+    ) -> None:
         self.execution = execution
+        self.on_late = on_late
         self.calls: list[CallId] = []
         self.finish: _Finish | None = None
         self.changed = anyio.Event()
@@ -148,3 +167,18 @@
         delay_s = 0 if wakeup_ms is None else (wakeup_ms - now_ms) / _MS_PER_S
         with anyio.move_on_after(max(0, delay_s)):
             await self.changed.wait()
+
+    def end(self, finish: _Finish) -> None:
+        """Take the last command, or one that still changes it."""
+        if self.finish is None:
+            self.finish = finish
+        elif self.on_late is not None:
+            self.on_late(finish)
+
+    def drop_from(self, waiting: 'dict[CallId, _Running[Any]]') -> None:
+        """Wait for no reply any more."""
+        for call in self.calls:
+            waiting.pop(call, None)
+
+
+_Ended = deque[tuple[float, _Running[Any]]]
