--- a/src/dandelionstage/daemon/main.py
+++ b/src/dandelionstage/daemon/main.py
@@ -4,6 +4,7 @@
 from collections.abc import Sequence
 
 import anyio
+from loguru import logger
 
 from ..operations.logs import configure_logs
 from ..settings.model import LogFormat, Settings
@@ -18,7 +19,14 @@
     given = sys.argv[1:] if arguments is None else arguments
     settings = settings_from_arguments(given)
     _start_logs(settings)
+    logger.bind(
+        host=settings.host,
+        caller_port=settings.caller_port,
+        inner_port=settings.inner_port,
+        operator_port=settings.operator_port,
+    ).info('daemon starts')
     anyio.run(run_daemon, settings, backend_options={'use_uvloop': True})
+    logger.info('daemon stopped')
 
 
 def _start_logs(settings: Settings) -> None:
--- a/tools/demo/command.py
+++ b/tools/demo/command.py
@@ -2,6 +2,7 @@
 
 import json
 import os
+import shlex
 import subprocess  # noqa: S404 -- the demo shows the real command line
 import sys
 from collections.abc import Iterable
@@ -79,7 +80,9 @@
         ports: Iterable[int],
         arguments: Iterable[str],
     ) -> Outcome:
-        sys.stdout.write('  $ dandelionstage {0}\n'.format(' '.join(arguments)))
+        sys.stdout.write(
+            '  $ dandelionstage {0}\n'.format(shlex.join(arguments))
+        )
         sys.stdout.flush()
         ended = subprocess.run(
             (sys.executable, '-m', 'dandelionstage.cli.main', *arguments),
