--- a/src/dandelionstage/query/attempts.py
+++ b/src/dandelionstage/query/attempts.py
@@ -9,7 +9,13 @@
 from ..retries.moves import Move, is_free, move_after
 from .dispatch import Dispatch
 from .messages import Query, QueryCommand
-from .picking import is_owner_silent, pick_hedge, pick_next, pick_retry
+from .picking import (
+    find_patience_ms,
+    is_owner_silent,
+    pick_hedge,
+    pick_next,
+    pick_retry,
+)
 from .shard import Attempt, ShardProgress, Shards
 from .tools import QueryTools, Tally
 
@@ -17,6 +23,8 @@
 
 #: Attempts at one shard under one pin, the first one included.
 _MAX_ATTEMPTS: Final = 4
+#: Share of the shards that may be stragglers at one time.
+_FEW_FRACTION: Final = 0.1
 
 _Commands = Iterator[QueryCommand]
 
@@ -75,7 +83,7 @@
 
     def add(self, progress: ShardProgress, now_ms: float) -> _Commands:
         """Make the hedge or the retry that is due, if it is worth it."""
-        if progress.out and not self._is_straggler(progress):
+        if progress.out and not self._is_straggler(progress, now_ms):
             self._dispatch.plan_hedge(progress, now_ms)
             return
         pick = pick_hedge if progress.out else pick_retry
@@ -90,15 +98,21 @@
             self._dispatch.plan_hedge(progress, now_ms)
             self._give_up(progress, Reason.RETRY_BUDGET_EMPTY)
 
-    def _is_straggler(self, progress: ShardProgress) -> bool:
+    def _is_straggler(self, progress: ShardProgress, now_ms: float) -> bool:
         """Whether a hedge helps: the others are in, or the owner is lost.
 
-        While many shards are open the load is at fault, not a replica, and
+        While most shards are open the load is at fault, not a replica, and
         hedges would add to it.
         """
-        if is_owner_silent(progress, self._tools):
+        still_open = self._shards.open
+        if still_open <= max(1, self._shards.total * _FEW_FRACTION):
             return True
-        return self._shards.few_open
+        if not is_owner_silent(progress, self._tools):
+            return False
+        waited_ms = now_ms - progress.first_out().sent_ms
+        patience_ms = find_patience_ms(self._query, self._tools)
+        half_settled = still_open <= self._shards.total / 2
+        return half_settled or waited_ms >= patience_ms
 
     def _plan_retry(
         self,
--- a/src/dandelionstage/query/picking.py
+++ b/src/dandelionstage/query/picking.py
@@ -7,7 +7,13 @@
 from .shard import ShardProgress
 from .tools import QueryTools
 
-__all__ = ('is_owner_silent', 'pick_hedge', 'pick_next', 'pick_retry')
+__all__ = (
+    'find_patience_ms',
+    'is_owner_silent',
+    'pick_hedge',
+    'pick_next',
+    'pick_retry',
+)
 
 #: An owner may take this many times longer than most shards, and at least
 #: the least patience, before it counts as silent.
@@ -31,8 +37,7 @@
         progress.replicas,
         progress.avoid,
     )
-    typical_ms = tools.delays.typical_ms(query.workload)
-    patience_ms = max(_LEAST_PATIENCE_MS, typical_ms * _PATIENCE_FACTOR)
+    patience_ms = find_patience_ms(query, tools)
     clear = progress.keep_clear(targets)
     for target in clear:
         if not tools.owners.is_silent(target.vm, now_ms, patience_ms):
@@ -77,3 +82,9 @@
     """Whether the owner said nothing since the oldest attempt out."""
     first = progress.first_out()
     return not tools.owners.heard_since(first.target.vm, first.sent_ms)
+
+
+def find_patience_ms(query: Query, tools: QueryTools) -> float:
+    """Return how long an owner may say nothing before it counts as lost."""
+    typical_ms = tools.delays.typical_ms(query.workload)
+    return max(_LEAST_PATIENCE_MS, typical_ms * _PATIENCE_FACTOR)
--- a/src/dandelionstage/query/shard.py
+++ b/src/dandelionstage/query/shard.py
@@ -3,7 +3,7 @@
 import math
 from collections.abc import Iterator
 from dataclasses import dataclass
-from typing import Final, TypeVar, final
+from typing import TypeVar, final
 
 from ..model.ids import BackendId, CallId, DataCentreId, ShardId, VmId
 from ..model.messages import SubReply
@@ -13,9 +13,6 @@
 
 __all__ = ('Attempt', 'ShardProgress', 'Shards')
 
-#: Share of the shards that counts as few.
-_FEW_FRACTION: Final = 0.1
-
 _Item = TypeVar('_Item')
 
 
@@ -107,6 +104,7 @@
 class Shards:
     """The shards of one pinned snapshot.
 
+    :ivar total: how many there are.
     :ivar open: how many may still bring a part.
     :ivar lost: how many will not bring one.
     :ivar pin_gone: whether one was lost because replicas lack the pin.
@@ -118,7 +116,8 @@
             shard: ShardProgress(shard, replicas)
             for shard, replicas in snapshot.shards.items()
         }
-        self.open = len(self._shards)
+        self.total = len(self._shards)
+        self.open = self.total
         self.lost = 0
         self.pin_gone = False
 
@@ -141,16 +140,10 @@
         self.lost += 1
         self.pin_gone = self.pin_gone or bool(progress.gone)
 
-    @property
-    def few_open(self) -> bool:
-        """Whether most shards are settled."""
-        return self.open <= max(1, len(self._shards) * _FEW_FRACTION)
-
     @property
     def reachable_fraction(self) -> float:
         """Return the coverage still possible, 0 to 1."""
-        total = len(self._shards)
-        return (total - self.lost) / total
+        return (self.total - self.lost) / self.total
 
 
 def _blame(attempt: Attempt, reply: SubReply) -> frozenset[BackendId]:
--- a/tests/query_fleet.py
+++ b/tests/query_fleet.py
@@ -1,8 +1,10 @@
 """A small fake fleet for the decision code of queries."""
 
-from collections.abc import Iterable
+import heapq
+from collections.abc import Callable, Iterable
 from itertools import count
 from random import Random
+from typing import final
 
 from dandelionstage.model.contract import Contract, Priority
 from dandelionstage.model.coverage import Coverage
@@ -29,6 +31,7 @@
 )
 from dandelionstage.model.topology import Snapshot, Workload
 from dandelionstage.model.verdict import Reason, Run, Verdict
+from dandelionstage.query.execution import QueryExecution
 from dandelionstage.query.messages import (
     Answer,
     CancelSubRequest,
@@ -119,6 +122,23 @@
     return tuple(Target(vm, key, usable) for vm in owners)
 
 
+def route_two(
+    workload_id: WorkloadId,
+    shard: ShardId,
+    replicas: tuple[BackendId, ...],
+    avoid: frozenset[BackendId],
+) -> tuple[Target, ...]:
+    """Rank two owners in each of two data centres, one replica in each."""
+    targets = []
+    for rank in range(2):
+        for name, backend in zip('ab', replicas, strict=True):
+            key = OwnerKey(workload_id, shard, DataCentreId(name))
+            vm = VmId('vm-{0}{1}'.format(name, rank))
+            if backend not in avoid:
+                targets.append(Target(vm, key, (backend,)))
+    return tuple(targets)
+
+
 def tools(published: Workload, router: Route = route) -> QueryTools:
     """Make the tools of one daemon that knows one workload."""
     numbers = count(1)
@@ -130,6 +150,78 @@
     )
 
 
+Serve = Callable[[SendSubRequest], Iterable[tuple[float, SubReply]]]
+
+
+@final
+class Player:
+    """Plays queries under virtual time against a function that serves.
+
+    :ivar sent: every sub-request with the time it was sent.
+    """
+
+    def __init__(self, made: QueryTools, serve: Serve) -> None:
+        """Start at time zero."""
+        self.tools = made
+        self.now_ms: float = 0
+        self.sent: list[tuple[float, SendSubRequest]] = []
+        self.cancelled: list[CancelSubRequest] = []
+        self._serve = serve
+        self._replies: list[tuple[float, int, SubReply]] = []
+        self._order = count()
+
+    def play(self, asked: Query, *, paused_ms: float = 0) -> Answer:
+        """Run one query to its answer, then deliver what comes late.
+
+        :param paused_ms: the process sleeps this long after its start.
+        """
+        execution = QueryExecution(asked, self.tools)
+        commands = execution.start(self.now_ms)
+        found = self._carry_out(commands)
+        self.now_ms += paused_ms
+        if paused_ms:
+            found += self._carry_out(execution.wake(self.now_ms))
+        while not execution.finished:
+            found += self._carry_out(self._step(execution))
+        while self._replies:
+            late = heapq.heappop(self._replies)[-1]
+            assert not execution.receive(late, self.now_ms)
+        assert execution.next_wakeup_ms() is None
+        return answer_of(found)
+
+    def attempts_at(self, shard: str) -> list[SendSubRequest]:
+        """List the sub-requests to one shard, in order."""
+        return [
+            send
+            for _, send in self.sent
+            if send.sub_request.owner_key.shard == shard
+        ]
+
+    def _step(self, execution: QueryExecution) -> tuple[QueryCommand, ...]:
+        wakeup_ms = execution.next_wakeup_ms()
+        assert wakeup_ms is not None
+        if self._replies and self._replies[0][0] <= wakeup_ms:
+            due_ms, _, reply = heapq.heappop(self._replies)
+            self.now_ms = max(self.now_ms, due_ms)
+            return execution.receive(reply, self.now_ms)
+        self.now_ms = max(self.now_ms, wakeup_ms)
+        return execution.wake(self.now_ms)
+
+    def _carry_out(
+        self,
+        commands: Iterable[QueryCommand],
+    ) -> list[QueryCommand]:
+        carried = list(commands)
+        for send in sends(carried):
+            self.sent.append((self.now_ms, send))
+            for delay_ms, reply in self._serve(send):
+                due_ms = self.now_ms + delay_ms
+                entry = (due_ms, next(self._order), reply)
+                heapq.heappush(self._replies, entry)
+        self.cancelled.extend(cancels(carried))
+        return carried
+
+
 def sends(commands: Iterable[QueryCommand]) -> list[SendSubRequest]:
     """Pick out what is to be sent."""
     return [one for one in commands if isinstance(one, SendSubRequest)]
