Query: hedges that survive a second fault

Cause: found by the pairs of faults. A hedge that the second owner shed left no further attempt, so a shard behind a silent owner was lost until the deadline; a second hedge went to the silent deputy again; an owner whose replicas were all in use was asked once more. Conclusion: busy data centres come last instead of being left out, every silent owner of an attempt that is out is left out, and an owner is asked at most once for each of its replicas.

--- a/src/dandelionstage/query/attempts.py
+++ b/src/dandelionstage/query/attempts.py
@@ -7,6 +7,7 @@
 from ..model.verdict import Reason, Run, Verdict
 from ..retries.backoff import backoff_ms
 from ..retries.moves import Move, is_free, move_after
+from ..routing.targets import Target
 from .dispatch import Dispatch
 from .messages import Query, QueryCommand
 from .picking import (
@@ -75,7 +76,8 @@
             self._give_up(progress, verdict.reason)
             return
         target = pick_next(self._query, progress, self._tools, now_ms)
-        if target and news and _is_free(verdict) and not progress.out:
+        free = news and _is_free(verdict) and not progress.out
+        if target and free and not _is_busy(progress, target):
             self._tally.events[verdict.reason] += 1
             yield self._dispatch.send(progress, target, now_ms)
         else:
@@ -107,9 +109,10 @@
         still_open = self._shards.open
         if still_open <= max(1, self._shards.total * _FEW_FRACTION):
             return True
-        if not is_owner_silent(progress, self._tools):
+        first = progress.first_out()
+        if not is_owner_silent(first, self._tools):
             return False
-        waited_ms = now_ms - progress.first_out().sent_ms
+        waited_ms = now_ms - first.sent_ms
         patience_ms = find_patience_ms(self._query, self._tools)
         half_settled = still_open <= self._shards.total / 2
         return half_settled or waited_ms >= patience_ms
@@ -140,3 +143,7 @@
 
 def _is_free(verdict: Verdict) -> bool:
     return verdict.run is Run.NOT_RUN and is_free(verdict.reason)
+
+
+def _is_busy(progress: ShardProgress, target: Target) -> bool:
+    return target.owner_key.data_centre in progress.busy
--- a/src/dandelionstage/query/picking.py
+++ b/src/dandelionstage/query/picking.py
@@ -1,10 +1,11 @@
 """Picks the owner for the next attempt at a shard."""
 
+from collections import Counter
 from typing import Final
 
 from ..routing.targets import Target
 from .messages import Query
-from .shard import ShardProgress
+from .shard import Attempt, ShardProgress
 from .tools import QueryTools
 
 __all__ = (
@@ -27,10 +28,7 @@
     tools: QueryTools,
     now_ms: float,
 ) -> Target | None:
-    """Pick the best owner that nothing speaks against.
-
-    An owner that looks silent is taken only if there is no other.
-    """
+    """Pick the best owner, one that looks silent only if there is no other."""
     targets = tools.route(
         query.workload,
         progress.shard,
@@ -38,11 +36,11 @@
         progress.avoid,
     )
     patience_ms = find_patience_ms(query, tools)
-    clear = progress.keep_clear(targets)
-    for target in clear:
+    ranked = progress.rank(targets)
+    for target in ranked:
         if not tools.owners.is_silent(target.vm, now_ms, patience_ms):
             return target
-    return next(iter(clear), None)
+    return next(iter(ranked), None)
 
 
 def pick_retry(
@@ -67,21 +65,23 @@
 ) -> Target | None:
     """Pick by whom another replica is to be asked.
 
-    An owner that is alive knows which replica holds up its first attempt
-    and picks another one; a silent owner is left out.
+    An owner that is alive knows which replicas hold up its attempts and picks
+    another one, while it has any; a silent owner is left out.
     """
-    first = progress.first_out()
-    if is_owner_silent(progress, tools):
-        progress.shun(first.target.vm)
-    elif len(first.target.replicas) == 1:
-        progress.avoid |= frozenset(first.target.replicas)
+    out = Counter(attempt.target for attempt in progress.out.values())
+    for target, attempts in out.items():
+        if attempts >= len(target.replicas):
+            progress.busy.add(target.owner_key.data_centre)
+            progress.shun(target.vm)
+    for attempt in progress.out.values():
+        if is_owner_silent(attempt, tools):
+            progress.shun(attempt.target.vm)
     return pick_next(query, progress, tools, now_ms)
 
 
-def is_owner_silent(progress: ShardProgress, tools: QueryTools) -> bool:
-    """Whether the owner said nothing since the oldest attempt out."""
-    first = progress.first_out()
-    return not tools.owners.heard_since(first.target.vm, first.sent_ms)
+def is_owner_silent(attempt: Attempt, tools: QueryTools) -> bool:
+    """Whether the owner said nothing, to any query, since the attempt."""
+    return not tools.owners.heard_since(attempt.target.vm, attempt.sent_ms)
 
 
 def find_patience_ms(query: Query, tools: QueryTools) -> float:
--- a/src/dandelionstage/query/shard.py
+++ b/src/dandelionstage/query/shard.py
@@ -35,6 +35,7 @@
         else a retry; infinite when none is planned.
     :ivar open: whether a part may still come.
     :ivar avoid: replicas that refused or failed.
+    :ivar busy: data centres whose owner could not take the shard now.
     :ivar gone: those of them that lack the shard in the pinned snapshot.
     """
 
@@ -53,7 +54,7 @@
         self.avoid: frozenset[BackendId] = frozenset()
         self.gone: frozenset[BackendId] = frozenset()
         self._shunned: set[VmId] = set()
-        self._busy: set[DataCentreId] = set()
+        self.busy: set[DataCentreId] = set()
 
     @property
     def all_gone(self) -> bool:
@@ -74,19 +75,17 @@
             known = self.avoid.issuperset(blamed)
             self.avoid |= blamed
             return not known
-        return _add(self._busy, attempt.target.owner_key.data_centre)
+        return _add(self.busy, attempt.target.owner_key.data_centre)
 
     def shun(self, vm: VmId) -> bool:
         """Try other owners first from now on; whether that was news."""
         return _add(self._shunned, vm)
 
-    def keep_clear(self, targets: tuple[Target, ...]) -> tuple[Target, ...]:
-        """Leave out the targets that something speaks against."""
-        return tuple(
-            target
-            for target in targets
-            if target.vm not in self._shunned
-            and target.owner_key.data_centre not in self._busy
+    def rank(self, targets: tuple[Target, ...]) -> list[Target]:
+        """Leave out the owners shunned and put busy data centres last."""
+        return sorted(
+            (target for target in targets if target.vm not in self._shunned),
+            key=lambda target: target.owner_key.data_centre in self.busy,
         )
 
     def first_out(self) -> Attempt:
@@ -96,7 +95,7 @@
     def forgive(self) -> None:
         """Allow everything again but replicas that lack the pin."""
         self._shunned.clear()
-        self._busy.clear()
+        self.busy.clear()
         self.avoid = self.gone
 
 
