Scrapes no longer hold up requests

Rendering the metrics walked every histogram once for each quantile on the event loop. Rendering for 200 customers is still long; splitting the text itself was left.

Ruled out: rendering in a thread, which takes the interpreter lock from the loop for milliseconds at a time.

Seen to fail with the guard out: preparation before the page (2 tests), a prepared summary given once (1).

--- a/src/dandelionstage/cli/judgement.py
+++ b/src/dandelionstage/cli/judgement.py
@@ -5,7 +5,7 @@
 from typing import Final
 
 from ..model.verdict import Reason
-from ..operations.latency import LatencyHistogram
+from ..operations.latency import LatencySummary
 from ..operations.status import Promise
 from .totals import Totals
 
@@ -13,6 +13,7 @@
 
 #: The share of answers that a contract speaks of.
 _KEPT_SHARE: Final = 0.99
+_KEPT_QUANTILE: Final = '0.99'
 #: Primaries whose share of extra load each daemon may have saved up.
 _SAVED_PRIMARIES: Final = 400
 
@@ -56,11 +57,11 @@
 def breaches(
     promise: Promise,
     totals: Totals,
-    latency: LatencyHistogram,
+    latency: LatencySummary,
     daemons: int,
 ) -> Iterator[str]:
     """Say in which ways a contract is not kept."""
-    p99_ms = latency.quantile_ms(_KEPT_SHARE)
+    p99_ms = latency.quantiles_ms[_KEPT_QUANTILE]
     if p99_ms > promise.p99_ms:
         breach = 'p99 is {0:.0f} ms, promised {1} ms'
         yield breach.format(p99_ms, promise.p99_ms)
--- a/src/dandelionstage/cli/report.py
+++ b/src/dandelionstage/cli/report.py
@@ -6,7 +6,6 @@
 from pydantic import BaseModel, ConfigDict
 
 from ..model.ids import CustomerId
-from ..operations.latency import QUANTILES
 from ..operations.status import Promise, Status
 from .judgement import Judgement, breaches, own_refusals
 from .totals import Totals, add_counts, add_up, merge_latency, newest_promise
@@ -89,10 +88,7 @@
         breaches=found,
         promise=promise,
         totals=totals,
-        latency_ms={
-            str(quantile): latency.quantile_ms(quantile)
-            for quantile in QUANTILES
-        },
+        latency_ms=dict(latency.quantiles_ms),
     )
 
 
--- a/src/dandelionstage/cli/totals.py
+++ b/src/dandelionstage/cli/totals.py
@@ -8,7 +8,7 @@
 
 from ..model.ids import CustomerId, DocumentKey, Revision
 from ..operations.labels import Hop
-from ..operations.latency import LatencyHistogram, merged
+from ..operations.latency import LatencySummary, merged
 from ..operations.status import CustomerStatus, Promise, Status
 
 __all__ = ('Totals', 'add_counts', 'add_up', 'newest_promise')
@@ -52,10 +52,11 @@
     return dict(total.most_common())
 
 
-def merge_latency(statuses: Iterable[CustomerStatus]) -> LatencyHistogram:
+def merge_latency(statuses: Iterable[CustomerStatus]) -> LatencySummary:
     """Merge the latencies of whole queries."""
     hops = [status.hops.get(Hop.QUERY.value) for status in statuses]
-    return merged(tuple(hop.histogram for hop in hops if hop is not None))
+    encoded = tuple(hop.histogram for hop in hops if hop is not None)
+    return merged(encoded).summary()
 
 
 def newest_promise(
--- a/src/dandelionstage/daemon/status_page.py
+++ b/src/dandelionstage/daemon/status_page.py
@@ -26,6 +26,7 @@
     return AdminSources(
         readiness=readiness,
         metrics=node.metrics.render,
+        prepare=node.metrics.customers.prepare,
         status=lambda: _show(node, state(), readiness()),
     )
 
--- a/src/dandelionstage/operations/counts.py
+++ b/src/dandelionstage/operations/counts.py
@@ -1,6 +1,7 @@
 """What is counted for each customer, for a bounded number of customers."""
 
 from collections import Counter
+from collections.abc import Iterator
 from dataclasses import dataclass, field
 from typing import Final, final
 
@@ -82,3 +83,10 @@
     def items(self) -> tuple[tuple[CustomerId, CustomerCounts], ...]:
         """List customers by name with their counts."""
         return tuple(sorted(self._counts.items()))
+
+    def prepare(self) -> Iterator[None]:
+        """Prepare every summary, one histogram in each step."""
+        for counts in tuple(self._counts.values()):
+            for histogram in tuple(counts.latencies.values()):
+                histogram.prepare()
+                yield
--- a/src/dandelionstage/operations/latency_family.py
+++ b/src/dandelionstage/operations/latency_family.py
@@ -6,7 +6,7 @@
 from prometheus_client import Metric
 
 from .counts import CustomerCounts, CustomerTable
-from .latency import QUANTILES, LatencyHistogram
+from .latency import LatencySummary
 
 __all__ = ('PREFIX', 'latency_family')
 
@@ -33,28 +33,21 @@
 ) -> None:
     for hop, histogram in counts.latencies.items():
         labels = {'customer': customer, 'hop': hop.value}
-        _add_summary(family, labels, histogram)
+        _add_summary(family, labels, histogram.summary())
 
 
 def _add_summary(
     family: Metric,
     labels: Mapping[str, str],
-    histogram: LatencyHistogram,
+    summary: LatencySummary,
 ) -> None:
-    for quantile in QUANTILES:
+    for quantile, latency_ms in summary.quantiles_ms.items():
         family.add_sample(
             family.name,
-            {**labels, 'quantile': str(quantile)},
-            histogram.quantile_ms(quantile),
+            {**labels, 'quantile': quantile},
+            latency_ms,
         )
-    name = '{0}_{1}'
-    family.add_sample(
-        name.format(family.name, 'count'),
-        dict(labels),
-        histogram.count,
-    )
-    family.add_sample(
-        name.format(family.name, 'sum'),
-        dict(labels),
-        histogram.sum_ms,
-    )
+    count_name = '{0}_count'.format(family.name)
+    family.add_sample(count_name, dict(labels), summary.count)
+    sum_name = '{0}_sum'.format(family.name)
+    family.add_sample(sum_name, dict(labels), summary.sum_ms)
--- a/src/dandelionstage/operations/show.py
+++ b/src/dandelionstage/operations/show.py
@@ -7,14 +7,14 @@
 from ..model.ids import CustomerId
 from ..model.verdict import Reason
 from .counts import CustomerCounts
-from .latency import LatencyHistogram
+from .latency import LatencySummary
 from .metrics import Metrics
 from .status import CustomerStatus, HopStatus, Promise
 
 __all__ = ('customer_statuses', 'nonzero_retries', 'promises')
 
-_MEDIAN: Final = 0.5
-_P99: Final = 0.99
+_MEDIAN: Final = '0.5'
+_P99: Final = '0.99'
 
 
 def customer_statuses(metrics: Metrics) -> dict[CustomerId, CustomerStatus]:
@@ -51,18 +51,18 @@
         extra_load=counts.extra_load,
         refusals=_nonzero(counts.refusals),
         hops={
-            hop.value: _show_hop(histogram)
+            hop.value: _show_hop(histogram.summary())
             for hop, histogram in counts.latencies.items()
         },
     )
 
 
-def _show_hop(histogram: LatencyHistogram) -> HopStatus:
+def _show_hop(summary: LatencySummary) -> HopStatus:
     return HopStatus(
-        count=histogram.count,
-        p50_ms=histogram.quantile_ms(_MEDIAN),
-        p99_ms=histogram.quantile_ms(_P99),
-        histogram=histogram.encode(),
+        count=summary.count,
+        p50_ms=summary.quantiles_ms[_MEDIAN],
+        p99_ms=summary.quantiles_ms[_P99],
+        histogram=summary.encoded,
     )
 
 
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -81,6 +81,19 @@
     assert 'dandelionstage_refusals_total{reason="ok"} 0.0' in response.text
 
 
+@pytest.mark.parametrize('path', ['/metrics', '/v1/status'])
+def test_summaries_are_prepared_first(path):
+    steps = iter([None, None, None])
+    sources = AdminSources(
+        readiness=lambda: Readiness(ready=True),
+        metrics=Metrics().render,
+        status=status,
+        prepare=lambda: steps,
+    )
+    assert anyio.run(fetch, admin_app(sources), path).is_success
+    assert not list(steps)
+
+
 def test_status_shows_contracts_without_keys():
     response = get('/v1/status')
     assert response.json()['promises']['finder']['p99_ms'] == 100
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -79,7 +79,7 @@
 def test_a_latency_out_of_range_is_still_recorded(elapsed_ms):
     histogram = LatencyHistogram()
     histogram.record(elapsed_ms)
-    assert histogram.count == 1
+    assert histogram.summary().count == 1
 
 
 def test_histograms_merge_across_processes():
@@ -87,9 +87,25 @@
     far = LatencyHistogram()
     near.record(1)
     far.record(100)
-    whole = merged((near.encode(), far.encode()))
+    encoded = (near.summary().encoded, far.summary().encoded)
+    whole = merged(encoded).summary()
     assert whole.count == 2
-    assert whole.quantile_ms(0.99) == pytest.approx(100, rel=0.01)
+    assert whole.quantiles_ms['0.99'] == pytest.approx(100, rel=0.01)
+
+
+def test_a_prepared_summary_is_given_once():
+    histogram = LatencyHistogram()
+    histogram.record(1)
+    histogram.prepare()
+    histogram.record(1)
+    assert [histogram.summary().count for _ in range(2)] == [1, 2]
+
+
+def test_each_histogram_is_prepared_in_a_step_of_its_own():
+    metrics = Metrics()
+    for hop in Hop:
+        metrics.observe(hop, FINDER, 1)
+    assert len(list(metrics.customers.prepare())) == len(Hop)
 
 
 def test_customers_beyond_the_bound_are_counted_together():
