--- a/src/dandelionstage/daemon/configuration_task.py
+++ b/src/dandelionstage/daemon/configuration_task.py
@@ -18,7 +18,7 @@
 from ..configuration.topology import Topology
 from ..model.ids import VmId
 from ..model.messages import Documents, Pull
-from .clock import now_ms
+from .clock import monotonic_ms
 from .configuration_events import (
     ConfigurationEvent,
     DigestHeard,
@@ -78,7 +78,7 @@
 
     def ready(self) -> bool:
         """Say whether the documents held are good enough to serve on."""
-        return self._spread.ready(now_ms())
+        return self._spread.ready(monotonic_ms())
 
     async def run(self, client: ServiceClient) -> None:
         """Keep the documents up to date until cancelled."""
@@ -86,7 +86,7 @@
         async with self._inbox, anyio.create_task_group() as group:
             while True:
                 topology = self._store.topology
-                commands = self._spread.tick(now_ms())
+                commands = self._spread.tick(monotonic_ms())
                 self._obey(commands, reads, group)
                 with anyio.move_on_after(_TICK_S):
                     event = await self._inbox.receive()
@@ -113,7 +113,7 @@
 def _handle(spread: Spread, event: ConfigurationEvent) -> tuple[Command, ...]:
     match event:
         case DigestHeard():
-            return spread.hear_digest(event.vm, event.digest, now_ms())
+            return spread.hear_digest(event.vm, event.digest, monotonic_ms())
         case PullReceived():
             return spread.receive_pull(event.vm, event.pull)
         case DocumentsReceived():
@@ -122,8 +122,8 @@
             return spread.finish_document(
                 event.key,
                 event.document,
-                now_ms(),
+                monotonic_ms(),
             )
         case HeadsRead():
-            spread.finish_heads(event.heads, now_ms())
+            spread.finish_heads(event.heads, monotonic_ms())
             return ()
--- a/src/dandelionstage/daemon/membership_task.py
+++ b/src/dandelionstage/daemon/membership_task.py
@@ -12,7 +12,7 @@
 from ..membership.members import Members
 from ..model.ids import VmId
 from ..model.messages import Digest
-from .clock import now_ms
+from .clock import monotonic_ms
 from .probe_outbox import Address, AddressBook, ProbeOutbox
 
 __all__ = ('MembershipTask',)
@@ -67,7 +67,7 @@
 
     async def _tick(self) -> None:
         while True:
-            self._outbox.post(self._members.tick(now_ms()))
+            self._outbox.post(self._members.tick(monotonic_ms()))
             await anyio.sleep(_TICK_S)
 
     async def _read(self, socket: UDPSocket) -> None:
@@ -78,5 +78,5 @@
             except BadFrameError:
                 continue
             self._outbox.remember(probe.sender, (host, port))
-            self._outbox.post(self._members.receive(probe, now_ms()))
+            self._outbox.post(self._members.receive(probe, monotonic_ms()))
             self._on_digest(probe.sender, probe.digest)
