--- a/src/dandelionstage/query/shard.py
+++ b/src/dandelionstage/query/shard.py
@@ -3,7 +3,7 @@
 import math
 from collections.abc import Iterator
 from dataclasses import dataclass
-from typing import Final, TypeVar, final
+from typing import TypeVar, final
 
 from ..model.ids import BackendId, CallId, DataCentreId, ShardId, VmId
 from ..model.messages import SubReply
@@ -13,9 +13,6 @@
 
 __all__ = ('Attempt', 'ShardProgress', 'Shards')
 
-#: Share of the shards that counts as few.
-_FEW_FRACTION: Final = 0.1
-
 _Item = TypeVar('_Item')
 
 
@@ -38,6 +35,7 @@
         else a retry; infinite when none is planned.
     :ivar open: whether a part may still come.
     :ivar avoid: replicas that refused or failed.
+    :ivar busy: data centres whose owner could not take the shard now.
     :ivar gone: those of them that lack the shard in the pinned snapshot.
     """
 
@@ -56,7 +54,7 @@
         self.avoid: frozenset[BackendId] = frozenset()
         self.gone: frozenset[BackendId] = frozenset()
         self._shunned: set[VmId] = set()
-        self._busy: set[DataCentreId] = set()
+        self.busy: set[DataCentreId] = set()
 
     @property
     def all_gone(self) -> bool:
@@ -77,19 +75,17 @@
             known = self.avoid.issuperset(blamed)
             self.avoid |= blamed
             return not known
-        return _add(self._busy, attempt.target.owner_key.data_centre)
+        return _add(self.busy, attempt.target.owner_key.data_centre)
 
     def shun(self, vm: VmId) -> bool:
         """Try other owners first from now on; whether that was news."""
         return _add(self._shunned, vm)
 
-    def keep_clear(self, targets: tuple[Target, ...]) -> tuple[Target, ...]:
-        """Leave out the targets that something speaks against."""
-        return tuple(
-            target
-            for target in targets
-            if target.vm not in self._shunned
-            and target.owner_key.data_centre not in self._busy
+    def rank(self, targets: tuple[Target, ...]) -> list[Target]:
+        """Leave out the owners shunned and put busy data centres last."""
+        return sorted(
+            (target for target in targets if target.vm not in self._shunned),
+            key=lambda target: target.owner_key.data_centre in self.busy,
         )
 
     def first_out(self) -> Attempt:
@@ -99,7 +95,7 @@
     def forgive(self) -> None:
         """Allow everything again but replicas that lack the pin."""
         self._shunned.clear()
-        self._busy.clear()
+        self.busy.clear()
         self.avoid = self.gone
 
 
@@ -107,6 +103,7 @@
 class Shards:
     """The shards of one pinned snapshot.
 
+    :ivar total: how many there are.
     :ivar open: how many may still bring a part.
     :ivar lost: how many will not bring one.
     :ivar pin_gone: whether one was lost because replicas lack the pin.
@@ -118,7 +115,8 @@
             shard: ShardProgress(shard, replicas)
             for shard, replicas in snapshot.shards.items()
         }
-        self.open = len(self._shards)
+        self.total = len(self._shards)
+        self.open = self.total
         self.lost = 0
         self.pin_gone = False
 
@@ -141,16 +139,10 @@
         self.lost += 1
         self.pin_gone = self.pin_gone or bool(progress.gone)
 
-    @property
-    def few_open(self) -> bool:
-        """Whether most shards are settled."""
-        return self.open <= max(1, len(self._shards) * _FEW_FRACTION)
-
     @property
     def reachable_fraction(self) -> float:
         """Return the coverage still possible, 0 to 1."""
-        total = len(self._shards)
-        return (total - self.lost) / total
+        return (self.total - self.lost) / self.total
 
 
 def _blame(attempt: Attempt, reply: SubReply) -> frozenset[BackendId]:
