Share a server's slots and connections among VMs

Cause: VMs that disagree on who owns a shard must together stay under the server's limits, and the owner must still get nearly all of them. How: shares are fixed by rank over the published list; a share that grows is used only when all who may have held it confirm the same list, or when a time has passed in which a new list reaches every VM that runs. Free slots are lent for 2 s; the lender deducts and counts from its grant, the borrower from its request, and work on a borrowed slot ends with the lease. Connections are split once, with room for lists that differ by two VMs, and need no messages. Ruled out: shares by live view, as two VMs may both see themselves first; by rank alone, as a list that gained a VM gives two first ranks; waiting out a time after every change, as a planned change would halve a server of two slots for seconds. Seen failing (stateful test): share used before it settled, lender that does not deduct, confirmation without a look at the list, confirmation with more slots in use than its own. Not proved: a VM that runs cut off from all news for longer than the settling time while it is removed from the list.

--- a/src/dandelionstage/owner/backends.py
+++ b/src/dandelionstage/owner/backends.py
@@ -1,11 +1,12 @@
 """The backend servers an owner may use."""
 
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Mapping, Sequence
 from typing import final
 
 from returns.result import Failure, Result, Success
 
 from ..configuration.topology import Topology
+from ..limits.server_shares import ServerShares
 from ..model.ids import BackendId, DataCentreId
 from ..model.topology import BackendServer
 from ..model.verdict import Reason, Verdict, not_run
@@ -13,13 +14,10 @@
 from ..routing.health import Fitness
 from .backend_state import BackendState
 
-__all__ = ('Backends', 'Replicas', 'SlotShare')
+__all__ = ('Backends', 'Replicas')
 
 Replicas = tuple[BackendId, ...]
 
-#: Says how many slots of a server this VM may use at a time.
-SlotShare = Callable[[BackendId, float], int]
-
 
 @final
 class Backends:
@@ -31,10 +29,10 @@
     :ivar states: what is known of each server that has or may have work.
     """
 
-    def __init__(self, data_centre: DataCentreId, share: SlotShare) -> None:
+    def __init__(self, data_centre: DataCentreId, shares: ServerShares) -> None:
         """Start without any server."""
         self._data_centre = data_centre
-        self._share = share
+        self._shares = shares
         self.states: dict[BackendId, BackendState] = {}
         self._published: frozenset[BackendId] = frozenset()
 
@@ -46,13 +44,16 @@
         self.states = {
             backend: state
             for backend, state in self.states.items()
-            if backend in self._published or state.slots.in_flight
+            if backend in self._published or state.slots.use.in_flight
         }
         placed = _place(topology, self._data_centre)
         for backend, server in placed.items():
-            self.states.setdefault(backend, BackendState(server)).publish(
-                server,
+            account = self._shares.accounts[backend]
+            state = self.states.setdefault(
+                backend,
+                BackendState(server, account),
             )
+            state.publish(server)
         self._published = frozenset(placed)
 
     def resolve(
@@ -88,7 +89,7 @@
         if self.is_leaving(backend, now_ms):
             return 0
         return min(
-            self._share(backend, now_ms),
+            state.slots.capacity(now_ms),
             state.concurrency.allowed(now_ms),
         )
 
--- a/src/dandelionstage/owner/dispatcher.py
+++ b/src/dandelionstage/owner/dispatcher.py
@@ -54,32 +54,41 @@
         return [
             Candidate(
                 backend,
-                state.server(backend).slots.in_flight,
+                state.server(backend).slots.use.in_flight,
                 state.server(backend).service_time.expected_ms(now_ms),
             )
             for backend in sorted(replicas)
-            if state.lanes.feeding(backend) and state.is_open(backend, now_ms)
+            if state.lanes.feeding(backend) and state.find_slot(backend, now_ms)
         ]
 
     def _start_next(
         self, backend: BackendId, now_ms: float
     ) -> list[OwnerCommand]:
+        hold = self._state.find_slot(backend, now_ms)
+        if hold is None:
+            return []
         waiting = self._take_next(backend, now_ms)
         if waiting is None:
             return []
-        remaining_ms = waiting.deadline_ms - now_ms
-        found = self._state.server(backend)
+        service_time = self._state.server(backend).service_time
         verdict = _judge_time(
-            remaining_ms,
-            found.service_time.expected_ms(now_ms),
+            waiting.deadline_ms - now_ms,
+            service_time.expected_ms(now_ms),
         )
         if verdict is not None:
             return [refuse(self._state.vm, waiting, verdict, now_ms)]
-        found.slots.take()
-        self._state.attempts[waiting.call] = Attempt(waiting, backend, now_ms)
-        return [
-            StartAttempt(waiting.sub_request, backend, waiting.deadline_ms),
-        ]
+        hold = hold.until(waiting.deadline_ms)
+        return [self._start(Attempt(waiting, backend, hold, now_ms))]
+
+    def _start(self, attempt: Attempt) -> StartAttempt:
+        self._state.server(attempt.backend).slots.use.take(attempt.hold)
+        sub_request = attempt.waiting.sub_request
+        self._state.attempts[sub_request.call] = attempt
+        return StartAttempt(
+            sub_request,
+            attempt.backend,
+            attempt.hold.until_ms,
+        )
 
     def _take_next(self, backend: BackendId, now_ms: float) -> Waiting | None:
         firsts = _list_firsts(
--- a/src/dandelionstage/owner/owner.py
+++ b/src/dandelionstage/owner/owner.py
@@ -6,9 +6,11 @@
 
 from ..configuration.topology import Topology
 from ..limits.queue import next_deadline_ms
+from ..limits.server_shares import ServerShares
+from ..limits.settlement import SETTLE_MS
 from ..limits.waiting import Waiting
 from ..model.ids import BackendId, CallId, DataCentreId, VmId
-from ..model.messages import SubRequest
+from ..model.messages import LeaseGrant, LeaseRequest, SubRequest
 from ..model.verdict import Reason, Run, Verdict, not_run
 from ..routing.choice import Chooser, choose_least
 from .backends import Backends
@@ -17,12 +19,15 @@
 from .messages import AttemptOutcome, CancelAttempt, OwnerCommand
 from .replies import answer
 from .retry_allowance import RetryAllowance
+from .sharing import Addressed, Sharing
 from .state import Attempt, OwnerState
 
 __all__ = ('Owner',)
 
 #: Without a call for this long, the process may have been paused.
 _PAUSE_MS: Final = 100.0
+#: After this long, others may have gone on without this VM.
+_DOUBT_MS: Final = SETTLE_MS / 2
 
 #: Refusals that another replica may not share.
 _RETRIED: Final = frozenset(
@@ -57,16 +62,19 @@
         choose: Chooser = choose_least,
     ) -> None:
         """Own shards of one data centre for one of its VMs."""
-        self._state = OwnerState(vm, Backends(data_centre, self._share))
+        self._shares = ServerShares(vm, data_centre)
+        self._state = OwnerState(vm, Backends(data_centre, self._shares))
         self._dispatcher = Dispatcher(self._state, choose, random)
         self._intake = Intake(self._state)
+        self._sharing = Sharing(self._state, self._shares, random)
         self._retries = RetryAllowance()
         self._seen_ms = float('-inf')
 
     def use_topology(self, topology: Topology, now_ms: float) -> Commands:
         """Follow newer documents."""
+        commands = self._wake(now_ms)
+        self._shares.use_topology(topology, now_ms)
         self._state.backends.use_topology(topology)
-        commands = self._intake.expire(now_ms)
         commands += self._intake.reroute(self._state.lanes, now_ms)
         return (*commands, *self._fill_all(now_ms))
 
@@ -131,8 +139,8 @@
         return (CancelAttempt(call, attempt.backend),)
 
     def tick(self, now_ms: float) -> Commands:
-        """Act on the passing of time."""
-        commands = self._intake.expire(now_ms)
+        """Act on the passing of time; to be called once a second at least."""
+        commands = self._wake(now_ms) + self._intake.expire(now_ms)
         return (*commands, *self._fill_all(now_ms))
 
     def next_wakeup_ms(self, now_ms: float) -> float | None:
@@ -143,19 +151,33 @@
             times_ms.append(found.next_change_ms(now_ms))
         return min((each for each in times_ms if each), default=None)
 
+    def requests(self, now_ms: float) -> tuple[Addressed, ...]:
+        """Ask other VMs for the slots that waiting work needs."""
+        return self._sharing.requests(now_ms)
+
+    def receive_request(
+        self, vm: VmId, request: LeaseRequest, now_ms: float
+    ) -> LeaseGrant:
+        """Answer another VM that asks for slots."""
+        return self._sharing.receive_request(vm, request, now_ms)
+
+    def receive_grant(
+        self, vm: VmId, grant: LeaseGrant, now_ms: float
+    ) -> Commands:
+        """Use the slots that another VM lends."""
+        backend = self._sharing.receive_grant(vm, grant)
+        if backend is None:
+            return ()
+        return tuple(self._dispatcher.fill((backend,), now_ms))
+
     def connection_allowance(self, backend: BackendId) -> int:
         """Say how many connections this VM may hold to a server."""
-        found = self._state.server(backend)
-        return found.server.max_connections
+        return self._shares.connections(backend, self._seen_ms)
 
     def pending(self) -> int:
         """Count the sub-requests that wait or run."""
         return len(self._state.lanes.calls) + len(self._state.attempts)
 
-    def _share(self, backend: BackendId, now_ms: float) -> int:
-        found = self._state.server(backend)
-        return found.server.slots
-
     def _list_awaited(self) -> set[BackendId]:
         return {
             backend for lane in self._state.lanes for backend in lane.replicas
@@ -168,6 +190,8 @@
         """Drop what expired while the process was paused, if it was."""
         paused_ms = now_ms - self._seen_ms
         self._seen_ms = now_ms
+        if paused_ms > _DOUBT_MS:
+            self._shares.doubt(now_ms)
         return self._intake.expire(now_ms) if paused_ms > _PAUSE_MS else []
 
     def _learn(
@@ -175,7 +199,7 @@
     ) -> None:
         backend = attempt.backend
         found = self._state.server(backend)
-        found.finish(outcome, attempt.waiting.deadline_ms, now_ms)
+        found.finish(outcome, attempt.hold, now_ms)
         reason = outcome.verdict.reason
         self._state.backends.blame(backend, reason, now_ms)
 
--- a/src/dandelionstage/owner/state.py
+++ b/src/dandelionstage/owner/state.py
@@ -1,8 +1,9 @@
 """What an owner holds at any moment."""
 
 from dataclasses import dataclass, field
-from typing import final
+from typing import Final, final
 
+from ..limits.slot_use import Hold
 from ..limits.waiting import Waiting
 from ..model.ids import BackendId, CallId, VmId
 from .backend_state import BackendState
@@ -11,18 +12,25 @@
 
 __all__ = ('Attempt', 'OwnerState')
 
+#: No work starts on a borrowed slot that has to be given back sooner.
+_SHORTEST_USE_MS: Final = 200.0
+#: Nor if it might take this many times as long as expected.
+_SAFE_TIMES: Final = 3
+
 
 @final
 @dataclass(frozen=True, slots=True)
 class Attempt:
     """Work that was started at a backend server.
 
+    :ivar hold: its slot.
     :ivar started_ms: when.
     :ivar cancelled: the entry wants no answer any more.
     """
 
     waiting: Waiting
     backend: BackendId
+    hold: Hold
     started_ms: float
     cancelled: bool = False
 
@@ -47,10 +55,15 @@
         """Return what is known of a server that has or had work."""
         return self.backends.states[backend]
 
-    def is_open(self, backend: BackendId, now_ms: float) -> bool:
-        """Say whether a server has a free slot for this VM right now."""
-        allowed = self.backends.allowed(backend, now_ms)
-        return self.server(backend).slots.in_use(now_ms) < allowed
+    def find_slot(self, backend: BackendId, now_ms: float) -> Hold | None:
+        """Find a slot of a server that may start work right now."""
+        found = self.server(backend)
+        in_use = found.slots.use.total(now_ms)
+        if in_use >= self.backends.allowed(backend, now_ms):
+            return None
+        expected_ms = found.service_time.expected_ms(now_ms)
+        shortest_ms = max(_SHORTEST_USE_MS, expected_ms * _SAFE_TIMES)
+        return found.slots.find_slot(shortest_ms, now_ms)
 
     def finish_ms(self, backend: BackendId, ahead: int, now_ms: float) -> float:
         """Estimate when work would end at a server behind other work."""
