--- a/src/dandelionstage/inner/inner.thrift
+++ b/src/dandelionstage/inner/inner.thrift
@@ -46,6 +46,8 @@
   12: required list<string> held_snapshots
   13: required double service_ms
   14: required double queue_ms
+  // As the part says of itself, which may differ from the server tried.
+  15: optional string part_backend
 }
 
 struct CancelWire { 1: required string call }
@@ -82,6 +84,8 @@
 struct PullWire {
   1: required string call
   2: required map<string, i64> held
+  // Only documents above this revision are wanted.
+  3: optional i64 above
 }
 
 struct DocumentsWire {
@@ -125,6 +129,8 @@
   1: required string vm
   2: required i64 incarnation
   3: required i32 state
+  // How often this incarnation has refuted a suspicion.
+  4: optional i32 refutation
 }
 
 struct DigestWire {
