--- a/src/dandelionstage/limits/own_share.py
+++ b/src/dandelionstage/limits/own_share.py
@@ -43,6 +43,13 @@
         """Ask anew: the documents may be old, as the process was paused."""
         self._settle(0, self.view, now_ms)
 
+    def confirm(self, vm: VmId, digest: str) -> bool:
+        """Note that a VM sees these shares; true if they are ours."""
+        if digest != self.view.digest:
+            return False
+        self.settlement.confirm(vm)
+        return True
+
     def slots(self, now_ms: float) -> int:
         """Count the own slots that nobody else can still hold."""
         if self.settlement.settled(now_ms):
--- a/src/dandelionstage/limits/share_borrower.py
+++ b/src/dandelionstage/limits/share_borrower.py
@@ -1,7 +1,7 @@
 """Asks other VMs for slots of backend servers."""
 
 from collections.abc import Iterator, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Final, final
 
 from ..model.ids import BackendId, CallId, VmId
@@ -17,8 +17,10 @@
 #: Slots wanted at each server, those in use included.
 Demand = Mapping[BackendId, int]
 
-#: The same VM is asked again after this long.
-_ASK_AGAIN_MS: Final = 200.0
+#: A VM that does not answer is asked again after this long.
+_SILENT_MS: Final = 200.0
+#: A VM that refused is asked again after this long.
+_REFUSED_MS: Final = 100.0
 #: A lease is renewed once it has less than this left.
 _RENEW_MS: Final = LEASE_MS / 2
 
@@ -31,11 +33,16 @@
 class _Asked:
     """The latest request to a VM for a server.
 
+    :ivar call: ``None`` once it is answered.
+    :ivar amount: how much it asked for.
     :ivar sent_ms: from when a lease counts.
+    :ivar again_ms: when the VM may be asked again.
     """
 
-    call: CallId
+    call: CallId | None
+    amount: float
     sent_ms: float
+    again_ms: float
 
 
 @final
@@ -70,28 +77,38 @@
         account = self._accounts.get(key.backend)
         if account is None or asked is None or asked.call != grant.call:
             return None
-        own = account.own
-        if key.digest == own.view.digest:
-            own.settlement.confirm(vm)
         if grant.amount:
             until_ms = asked.sent_ms + grant.duration_ms - _MARGIN_MS
             account.borrowed.add(vm, Lease(grant.amount, until_ms))
+        self._asked[vm, key.backend] = _close(
+            asked,
+            grant,
+            confirmed=account.own.confirm(vm, key.digest),
+        )
         return key.backend
 
     def _may_ask(self, vm: VmId, backend: BackendId, now_ms: float) -> bool:
         asked = self._asked.get((vm, backend))
-        return asked is None or now_ms >= asked.sent_ms + _ASK_AGAIN_MS
+        return asked is None or now_ms >= asked.again_ms
 
     def _ask(
         self, vm: VmId, backend: BackendId, amount: float, now_ms: float
     ) -> LeaseRequest:
         call = self._new_call()
-        self._asked[vm, backend] = _Asked(call, now_ms)
+        again_ms = now_ms + _SILENT_MS
+        self._asked[vm, backend] = _Asked(call, amount, now_ms, again_ms)
         own = self._accounts[backend].own
         key = ShareKey(backend, own.view.digest)
         return LeaseRequest(call, key.encode(), amount)
 
 
+def _close(asked: _Asked, grant: LeaseGrant, *, confirmed: bool) -> _Asked:
+    """Note an answer; what was refused is asked again, but not at once."""
+    refused = asked.amount > grant.amount if asked.amount else not confirmed
+    wait_ms = _REFUSED_MS if refused else 0
+    return replace(asked, call=None, again_ms=asked.sent_ms + wait_ms)
+
+
 def _list_wanted(
     account: SlotAccount, demand: int, now_ms: float
 ) -> dict[VmId, float]:
