Carry lease requests and grants between daemons

Cause: with shares in force a first owner holds one of a server's two slots and has to borrow the other, so its requests must reach its peers. Conclusion: asked after each event, at most once a millisecond while work waits and once in 20 ms otherwise.

--- a/src/dandelionstage/daemon/node.py
+++ b/src/dandelionstage/daemon/node.py
@@ -26,6 +26,7 @@
 from .facts import Facts
 from .identity import new_greeting
 from .inbound import InboundCalls
+from .lease_service import LeaseService
 from .owner_service import OwnerService
 
 __all__ = ('Node',)
@@ -58,6 +59,9 @@
         self.facts = self._know(settings)
         self.peers = PeerLinks(self._link_table(), self.facts.address_of)
         self.owner = self._own(group)
+        self._leases = LeaseService(self.owner, monotonic_ms, self.peers.send)
+        self._leases.register(self.dispatch)
+        self.owner.after_event = self._leases.ask
         self.runner = self._run()
         self._inbound = InboundCalls(
             settings.vm,
--- a/src/dandelionstage/daemon/owner_service.py
+++ b/src/dandelionstage/daemon/owner_service.py
@@ -29,7 +29,10 @@
 
 @final
 class OwnerService:
-    """Runs one owner over the pools of its backend servers."""
+    """Runs one owner over the pools of its backend servers.
+
+    :ivar after_event: called once the owner's decisions are carried out.
+    """
 
     def __init__(
         self,
@@ -47,6 +50,7 @@
         self._group = group
         self._clock = clock
         self._reply_to: dict[CallId, ReplyTo] = {}
+        self.after_event: Callable[[], None] = lambda: None
 
     def take(self, sub_request: SubRequest, reply_to: ReplyTo) -> None:
         """Take in a sub-request; its one reply goes back the same way."""
@@ -77,6 +81,7 @@
                 )
             elif isinstance(command, SendReply):
                 self._reply(command.sub_reply)
+        self.after_event()
 
     def _reply(self, reply: SubReply) -> None:
         reply_to = self._reply_to.pop(reply.call, None)
--- a/src/dandelionstage/limits/share_borrower.py
+++ b/src/dandelionstage/limits/share_borrower.py
@@ -59,8 +59,12 @@
         self, demand: Demand, now_ms: float
     ) -> Iterator[tuple[VmId, LeaseRequest]]:
         """Make the requests to send now."""
-        for backend, account in self._accounts.items():
-            wanted = _list_wanted(account, demand.get(backend, 0), now_ms)
+        for backend in (*demand, *self._list_unsettled(demand, now_ms)):
+            wanted = _list_wanted(
+                self._accounts[backend],
+                demand.get(backend, 0),
+                now_ms,
+            )
             for vm, amount in wanted.items():
                 if self._may_ask(vm, backend, now_ms):
                     yield vm, self._ask(vm, backend, amount, now_ms)
@@ -87,6 +91,16 @@
         )
         return key.backend
 
+    def _list_unsettled(
+        self, demand: Demand, now_ms: float
+    ) -> tuple[BackendId, ...]:
+        return tuple(
+            backend
+            for backend, account in self._accounts.items()
+            if backend not in demand
+            and not account.own.settlement.settled(now_ms)
+        )
+
     def _may_ask(self, vm: VmId, backend: BackendId, now_ms: float) -> bool:
         asked = self._asked.get((vm, backend))
         return asked is None or now_ms >= asked.again_ms
--- a/src/dandelionstage/owner/owner.py
+++ b/src/dandelionstage/owner/owner.py
@@ -105,9 +105,9 @@
         self._learn(attempt, outcome, now_ms)
         commands += self._end(attempt, outcome, now_ms)
         if self._state.backends.is_leaving(attempt.backend, now_ms):
-            feeding = self._state.lanes.feeding(attempt.backend)
-            commands += self._intake.reroute(feeding, now_ms)
-        return (*commands, *self._fill_all(now_ms))
+            return (*commands, *self._leave(attempt.backend, now_ms))
+        replicas = attempt.waiting.sub_request.replicas
+        return (*commands, *self._dispatcher.fill(replicas, now_ms))
 
     def hear(
         self,
@@ -126,9 +126,7 @@
         if found is None:
             return ()
         found.hear(incarnation, now_ms, draining=draining)
-        feeding = self._state.lanes.feeding(backend)
-        commands = self._intake.reroute(feeding, now_ms)
-        return (*commands, *self._fill_all(now_ms))
+        return tuple(self._leave(backend, now_ms))
 
     def cancel(self, call: CallId, now_ms: float) -> Commands:
         """Stop a sub-request; it still gets its one reply."""
@@ -186,6 +184,12 @@
     def _fill_all(self, now_ms: float) -> list[OwnerCommand]:
         return self._dispatcher.fill(self._list_awaited(), now_ms)
 
+    def _leave(self, backend: BackendId, now_ms: float) -> list[OwnerCommand]:
+        """Place the work anew that waits for a server that has changed."""
+        feeding = self._state.lanes.feeding(backend)
+        commands = self._intake.reroute(feeding, now_ms)
+        return commands + self._fill_all(now_ms)
+
     def _wake(self, now_ms: float) -> list[OwnerCommand]:
         """Drop what expired while the process was paused, if it was."""
         paused_ms = now_ms - self._seen_ms
--- a/src/dandelionstage/owner/sharing.py
+++ b/src/dandelionstage/owner/sharing.py
@@ -2,7 +2,7 @@
 
 from collections import Counter
 from random import Random
-from typing import final
+from typing import Final, final
 
 from ..limits.call_ids import make_call_ids
 from ..limits.server_shares import ServerShares
@@ -15,6 +15,10 @@
 
 __all__ = ('Addressed', 'Sharing')
 
+#: How often needs are looked at while work waits, and while none does.
+_WAITING_LOOK_MS: Final = 1.0
+_IDLE_LOOK_MS: Final = 20.0
+
 #: A request and the VM to send it to.
 Addressed = tuple[VmId, LeaseRequest]
 
@@ -29,6 +33,7 @@
         """Share the slots of one owner."""
         self._state = state
         self._shares = shares
+        self._looked_ms = float('-inf')
         self._borrower = ShareBorrower(
             shares.accounts,
             make_call_ids(state.vm, random),
@@ -36,6 +41,9 @@
 
     def requests(self, now_ms: float) -> tuple[Addressed, ...]:
         """Ask other VMs for the slots that waiting work needs."""
+        if now_ms < self._looked_ms + self._pause_ms():
+            return ()
+        self._looked_ms = now_ms
         demand = {
             backend: self._wanted(backend, waiting, now_ms)
             for backend, waiting in self._count_waiting().items()
@@ -61,6 +69,10 @@
         """Take over what another VM lent; say for which server."""
         return self._borrower.receive_grant(vm, grant)
 
+    def _pause_ms(self) -> float:
+        waits = bool(self._state.lanes.calls)
+        return _WAITING_LOOK_MS if waits else _IDLE_LOOK_MS
+
     def _count_waiting(self) -> Counter[BackendId]:
         attempts = self._state.attempts.values()
         waiting = Counter({attempt.backend: 0 for attempt in attempts})
