Owner: a hedge goes to a replica that no earlier attempt holds up

Cause: the owner chose for a hedge by load alone, so it could be sent behind its own first attempt. Ruled out: letting the entry name the replica, which it does not know. Seen to fail: without the servers in use tests/test_owner_hedges.py picks the same replica; without the exception for an only replica the hedge is refused. Conclusion: servers that run an attempt of the same request and shard count as tried for a hedge.

--- a/src/dandelionstage/owner/owner.py
+++ b/src/dandelionstage/owner/owner.py
@@ -81,7 +81,8 @@
         commands = self._wake(now_ms)
         self._retries.earn()
         deadline_ms = now_ms + sub_request.remaining_ms
-        waiting = Waiting(sub_request, now_ms, deadline_ms)
+        in_use = _list_in_use(self._state, sub_request)
+        waiting = Waiting(sub_request, now_ms, deadline_ms, in_use)
         commands += self._intake.admit(waiting, now_ms)
         commands += self._dispatcher.fill(sub_request.replicas, now_ms)
         if sub_request.hedge:
@@ -199,3 +200,21 @@
     if attempt.cancelled or attempt.waiting.sub_request.hedge:
         return False
     return now_ms < attempt.waiting.deadline_ms
+
+
+def _list_in_use(
+    state: OwnerState, sub_request: SubRequest
+) -> tuple[BackendId, ...]:
+    """List the servers that a hedge's earlier attempts hold up.
+
+    With all of them held up the hedge may go to any.
+    """
+    in_use = {
+        attempt.backend
+        for attempt in state.attempts.values()
+        if attempt.waiting.sub_request.request == sub_request.request
+        and attempt.waiting.sub_request.owner_key == sub_request.owner_key
+    }
+    if not sub_request.hedge or in_use.issuperset(sub_request.replicas):
+        return ()
+    return tuple(in_use)
--- a/src/dandelionstage/query/pinning.py
+++ b/src/dandelionstage/query/pinning.py
@@ -39,6 +39,8 @@
         if pin_of(snapshot) in given_up:
             continue
         rank = _rank(snapshot, held, now_ms)
+        if rank == _HELD:
+            return snapshot
         if rank > best_rank:
             best = snapshot
             best_rank = rank
