Query: less work for each sub-request

Cause: the patience with a silent owner was worked out at each send, and targets were sorted without anything to sort out. Conclusion: both are done only when an owner is silent or ruled out.

--- a/src/dandelionstage/query/picking.py
+++ b/src/dandelionstage/query/picking.py
@@ -35,10 +35,10 @@
         progress.replicas,
         progress.avoid,
     )
-    patience_ms = find_patience_ms(query, tools)
     ranked = progress.rank(targets)
     for target in ranked:
-        if not tools.owners.is_silent(target.vm, now_ms, patience_ms):
+        silent_ms = tools.owners.silent_ms(target.vm, now_ms)
+        if not silent_ms or silent_ms <= find_patience_ms(query, tools):
             return target
     return next(iter(ranked), None)
 
--- a/src/dandelionstage/query/shard.py
+++ b/src/dandelionstage/query/shard.py
@@ -1,7 +1,7 @@
 """The attempts at one shard: what is out, ruled out and next."""
 
 import math
-from collections.abc import Iterator
+from collections.abc import Iterator, Sequence
 from dataclasses import dataclass
 from typing import TypeVar, final
 
@@ -81,8 +81,10 @@
         """Try other owners first from now on; whether that was news."""
         return _add(self._shunned, vm)
 
-    def rank(self, targets: tuple[Target, ...]) -> list[Target]:
+    def rank(self, targets: Sequence[Target]) -> Sequence[Target]:
         """Leave out the owners shunned and put busy data centres last."""
+        if not self._shunned and not self.busy:
+            return targets
         return sorted(
             (target for target in targets if target.vm not in self._shunned),
             key=lambda target: target.owner_key.data_centre in self.busy,
--- a/src/dandelionstage/retries/signs.py
+++ b/src/dandelionstage/retries/signs.py
@@ -6,8 +6,8 @@
 
 __all__ = ('OwnerSigns',)
 
-#: A silent owner is left out for this long, then tried again.
-_LEFT_OUT_MS: Final = 1000
+#: An owner that was silent for this long is tried again.
+_TRIED_AGAIN_MS: Final = 1000
 
 
 @final
@@ -38,13 +38,16 @@
         heard_ms = self._heard_ms.get(vm)
         return heard_ms is not None and heard_ms > sent_ms
 
-    def is_silent(self, vm: VmId, now_ms: float, patience_ms: float) -> bool:
-        """Whether attempts at the owner have waited longer than that."""
+    def silent_ms(self, vm: VmId, now_ms: float) -> float:
+        """Return how long attempts at the owner have waited for any reply.
+
+        After some time it is 0 again, so that the owner is tried again.
+        """
         waiting_ms = self._waiting_ms.get(vm)
         if waiting_ms is None:
-            return False
+            return 0
         silent_ms = now_ms - waiting_ms
-        if silent_ms > patience_ms + _LEFT_OUT_MS:
+        if silent_ms > _TRIED_AGAIN_MS:
             self._waiting_ms.pop(vm)
-            return False
-        return silent_ms > patience_ms
+            return 0
+        return silent_ms
