--- a/src/dandelionstage/query/picking.py
+++ b/src/dandelionstage/query/picking.py
@@ -30,10 +30,10 @@
     now_ms: float,
 ) -> Target | None:
     """Pick the best owner, one that looks silent only if there is no other."""
-    patience_ms = find_patience_ms(query, tools)
     ranked = _rank(query, progress, tools)
     for target in ranked:
-        if not tools.owners.is_silent(target.vm, now_ms, patience_ms):
+        silent_ms = tools.owners.silent_ms(target.vm, now_ms)
+        if not silent_ms or silent_ms <= find_patience_ms(query, tools):
             return target
     return next(iter(ranked), None)
 
@@ -46,6 +46,8 @@
 ) -> Target | None:
     """Pick a slow place that is due to be asked again, beside a faster one."""
     typical_ms = tools.delays.typical_ms(query.workload)
+    if not tools.times.has_slow(typical_ms):
+        return None
     for target in _rank(query, progress, tools)[1:]:
         key = target.owner_key
         if not tools.times.is_slow(key, typical_ms):
@@ -108,14 +110,17 @@
     tools: QueryTools,
 ) -> list[Target]:
     """Order the owners, those of slow replicas behind the others."""
-    typical_ms = tools.delays.typical_ms(query.workload)
     targets = tools.route(
         query.workload,
         progress.shard,
         progress.replicas,
         progress.avoid,
     )
+    ranked = progress.rank(targets)
+    typical_ms = tools.delays.typical_ms(query.workload)
+    if not tools.times.has_slow(typical_ms):
+        return ranked
     return sorted(
-        progress.rank(targets),
+        ranked,
         key=lambda target: tools.times.is_slow(target.owner_key, typical_ms),
     )
