--- a/src/dandelionstage/query/picking.py
+++ b/src/dandelionstage/query/picking.py
@@ -1,6 +1,7 @@
 """Picks the owner for the next attempt at a shard."""
 
 from collections import Counter
+from collections.abc import Sequence
 from typing import Final
 
 from ..routing.targets import Target
@@ -108,7 +109,7 @@
     query: Query,
     progress: ShardProgress,
     tools: QueryTools,
-) -> list[Target]:
+) -> Sequence[Target]:
     """Order the owners, those of slow replicas behind the others."""
     targets = tools.route(
         query.workload,
