--- a/src/dandelionstage/daemon/peer_view.py
+++ b/src/dandelionstage/daemon/peer_view.py
@@ -1,15 +1,19 @@
 """What the spread of documents sees of the members."""
 
+from collections.abc import Iterable
 from itertools import chain
 from typing import Final
 
 from ..configuration.commands import PeerView
+from ..configuration.topology import PlacedVm
 from ..membership.members import Members
 from ..membership.messages import Identity
 from ..model.ids import VmId
+from ..model.topology import Vm
 from ..routing.ownership import rank_vms
+from ..settings.model import SeedPeer
 
-__all__ = ('view_peers',)
+__all__ = ('place_seeds', 'view_peers')
 
 #: VMs of each data centre that watch the configuration service.
 _READERS: Final = 2
@@ -57,3 +61,17 @@
             self._live = live
             self._chosen = rank_vms(self._name, live)[:_READERS]
         return self._chosen
+
+
+def place_seeds(seeds: Iterable[SeedPeer]) -> dict[VmId, PlacedVm]:
+    """List the peers that the settings name as if they were published.
+
+    A daemon goes by them until it holds a published list of VMs.
+    """
+    return {
+        seed.vm: PlacedVm(
+            Vm(vm=seed.vm, host=str(seed.host), inner_port=seed.inner_port),
+            seed.data_centre,
+        )
+        for seed in seeds
+    }
