A call sent again to its minter keeps its id

Cause: after a lost link the entry sent the call again under a new id. A minter frozen meanwhile may read the second copy first, refuse it as not run, and then start the action from the first one.

Change: the id is drawn once for each request of a caller.

--- a/src/dandelionstage/entry/action_service.py
+++ b/src/dandelionstage/entry/action_service.py
@@ -2,7 +2,7 @@
 
 import json
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Final, final
 
 import anyio
@@ -162,9 +162,12 @@
     ) -> ActionOutcome:
         deadline_ms = arrival.arrived_ms + _patience_ms(arrival)
         left_ms = deadline_ms + _GRACE_MS - self.clock()
+        call = self._make_call(ticket, arrival, deadline_ms)
         with anyio.move_on_after(max(0, left_ms / _MS_PER_S)):
             for _ in range(_MAX_FORWARDS):
-                call = self._make_call(ticket, arrival, deadline_ms)
+                # Sent again it keeps its id: a first copy that comes late
+                # must not start what the second was told has "not run".
+                call = replace(call, remaining_ms=deadline_ms - self.clock())
                 outcome = await self.forwarder.forward(vm, call)
                 if outcome is not None:
                     return outcome
--- /dev/null
+++ b/tests/test_action_service.py
@@ -0,0 +1,76 @@
+"""An entry brings a call to the process that minted its ticket."""
+
+from types import SimpleNamespace
+
+import anyio
+import pytest
+
+from dandelionstage.entry.action_service import ActionService, Forwarder
+from dandelionstage.model.messages import ActionOutcome
+from dandelionstage.model.verdict import Reason, Run, not_run
+from tests.action_fakes import table
+
+pytestmark = pytest.mark.anyio
+
+
+class LossyLinks:
+    """Loses the first calls and answers the next one."""
+
+    def __init__(self, losses):
+        self.calls = []
+        self.forwarder = Forwarder('vm-2', None, self.send)
+        self._losses = losses
+
+    def send(self, _vm, call):
+        """Lose or answer a call, as a link would, a little later."""
+        self.calls.append(call)
+        if len(self.calls) <= self._losses:
+            self.forwarder.take_lost(call)
+        else:
+            refusal = not_run(Reason.BACKEND_COLD)
+            outcome = ActionOutcome(call.call, refusal)
+            self.forwarder.take_outcome(outcome)
+
+
+async def act(links):
+    """Send one action with a ticket of another VM."""
+    numbers = iter(range(100))
+    service = ActionService(
+        forwarder=links.forwarder,
+        minting=None,
+        incarnation_of=lambda _vm: 1,
+        admit=lambda *_: None,
+        release=lambda _: None,
+        new_call=lambda: 'c-{0}'.format(next(numbers)),
+        metrics=SimpleNamespace(observe=lambda *_: None),
+        clock=lambda: anyio.current_time() * 1000,
+        lifetime_ms=1000,
+    )
+    arrival = SimpleNamespace(
+        request='r-1',
+        arrived_ms=service.clock(),
+        contract=SimpleNamespace(customer='vysocina', deadline_ms=5000),
+        workload=SimpleNamespace(workload='dilna'),
+        body=SimpleNamespace(
+            ticket=table().mint('vysocina', 0).unwrap(),
+            idempotency_key=None,
+            deadline_ms=None,
+            action={'blank': 1},
+        ),
+    )
+    _ticket, outcome = await service.act(arrival)
+    return outcome
+
+
+async def test_call_sent_again_keeps_its_id():
+    links = LossyLinks(losses=2)
+    outcome = await act(links)
+    assert outcome.verdict == not_run(Reason.BACKEND_COLD)
+    assert len(links.calls) == 3
+    assert {call.call for call in links.calls} == {'c-0'}
+
+
+async def test_call_that_is_lost_each_time_leaves_doubt():
+    outcome = await act(LossyLinks(losses=9))
+    assert outcome.verdict.reason is Reason.PEER_UNREACHABLE
+    assert outcome.verdict.run is Run.MAY_HAVE_RUN
