Bench: overload, a lost owner and a greedy neighbour; refused queries count their work

Cause: starts per sub-request looked like 1.35 under overload because the work of refused queries was not counted.

--- a/src/dandelionstage/entry/query_service.py
+++ b/src/dandelionstage/entry/query_service.py
@@ -70,6 +70,8 @@
         for reason, count in answer.events.items():
             self.metrics.retries[reason] += count
         if answer.coverage is None or answer.verdict.reason is not Reason.OK:
+            counts = self.metrics.customers.of(customer)
+            counts.add_work(answer.extra_load, answer.primaries)
             return
         self.metrics.count_answer(
             customer,
--- a/src/dandelionstage/operations/counts.py
+++ b/src/dandelionstage/operations/counts.py
@@ -50,6 +50,11 @@
         self.shards_answered += coverage.answered
         self.shards_asked += coverage.total
 
+    def add_work(self, extra_load: int, primaries: int) -> None:
+        """Count what a query cost, also one that was refused at last."""
+        self.extra_load += extra_load
+        self.primaries += primaries
+
     def latency(self, hop: Hop) -> LatencyHistogram:
         """Give the histogram of one hop, empty at first."""
         histogram = self.latencies.get(hop)
--- a/src/dandelionstage/operations/metrics.py
+++ b/src/dandelionstage/operations/metrics.py
@@ -93,9 +93,8 @@
         """
         counts = self.customers.of(customer)
         counts.add_coverage(coverage)
-        counts.extra_load += extra_load
-        counts.primaries += primaries
         counts.within_contract += within_contract
+        counts.add_work(extra_load, primaries)
 
     def render(self) -> bytes:
         """Write everything in the Prometheus text format."""
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -65,6 +65,14 @@
     assert not status.within_contract
 
 
+def test_a_refused_query_counts_its_work_and_no_answer():
+    metrics = Metrics()
+    metrics.customers.of(FINDER).add_work(extra_load=1, primaries=20)
+    status = customer_statuses(metrics)[FINDER]
+    assert (status.extra_load, status.primaries) == (1, 20)
+    assert not status.answers
+
+
 def test_latency_quantiles_by_customer_and_hop():
     metrics = Metrics()
     for elapsed_ms in range(1, 101):
--- a/tools/bench/__main__.py
+++ b/tools/bench/__main__.py
@@ -8,6 +8,9 @@
 import typer
 
 from .experiments.experiment import Experiment, run_experiment
+from .experiments.neighbour import neighbour
+from .experiments.overload import overload
+from .experiments.owner_lost import owner_lost
 from .experiments.straggler import straggler
 from .plots import plot_latency
 from .tables import render, save
@@ -15,6 +18,9 @@
 _EXPERIMENTS: Final = MappingProxyType(
     {
         'straggler': straggler,
+        'overload': overload,
+        'owner lost': owner_lost,
+        'neighbour': neighbour,
     }
 )
 
--- a/tools/bench/bare_scatter.py
+++ b/tools/bench/bare_scatter.py
@@ -14,28 +14,17 @@
 from pydantic import BaseModel
 
 from dandelionstage.backend.pool import BackendPool
-from dandelionstage.model.contract import Priority
-from dandelionstage.model.ids import (
-    BackendId,
-    CallId,
-    CustomerId,
-    DataCentreId,
-    RequestId,
-    Revision,
-    ShardId,
-    SnapshotId,
-    WorkloadId,
+
+from .bare_messages import (
+    CONNECTIONS,
+    DEADLINE_MS,
+    make_server,
+    make_sub_request,
 )
-from dandelionstage.model.messages import OwnerKey, Pin, SubRequest
-from dandelionstage.model.topology import BackendServer
 
 _MS_PER_S: Final = 1000
 _US_PER_S: Final = 1_000_000
-_DEADLINE_MS: Final = 3000
-_CONNECTIONS: Final = 16
-_SLOTS: Final = 2
 _SEED: Final = 1
-_LOOPBACK: Final = '127.0.0.1'
 
 
 @final
@@ -48,44 +37,15 @@
     snapshot: str
 
 
-def _server(name: str, port: int) -> BackendServer:
-    return BackendServer(
-        backend=BackendId(name),
-        host=_LOOPBACK,
-        port=port,
-        slots=_SLOTS,
-        max_connections=_CONNECTIONS,
-    )
-
-
-def _sub_request(name: str, number: int, snapshot: str) -> SubRequest:
-    shard = name.rpartition('.')[0]
-    return SubRequest(
-        call=CallId('{0}.{1}'.format(name, number)),
-        request=RequestId('bare'),
-        customer=CustomerId('bare'),
-        owner_key=OwnerKey(
-            WorkloadId('finder-desk'),
-            ShardId(shard),
-            DataCentreId('bare'),
-        ),
-        pin=Pin(SnapshotId(snapshot), Revision(1)),
-        replicas=(BackendId(name),),
-        priority=Priority.URGENT,
-        remaining_ms=_DEADLINE_MS,
-        query_json='{"ring": "A1"}',
-    )
-
-
 async def _scatter(
     pools: dict[str, BackendPool],
     number: int,
     snapshot: str,
 ) -> None:
-    deadline_ms = anyio.current_time() * _MS_PER_S + _DEADLINE_MS
+    deadline_ms = anyio.current_time() * _MS_PER_S + DEADLINE_MS
     async with anyio.create_task_group() as group:
         for name, pool in pools.items():
-            sub_request = _sub_request(name, number, snapshot)
+            sub_request = make_sub_request(name, number, snapshot)
             group.start_soon(pool.attempt, sub_request, deadline_ms)
 
 
@@ -95,28 +55,43 @@
 ) -> int:
     """Offer queries at random times and count them."""
     random = Random(_SEED)
-    ends_s = anyio.current_time() + load.duration_s
     sent = 0
-    async with anyio.create_task_group() as group:
-        while anyio.current_time() < ends_s:
-            sent += 1
-            group.start_soon(_scatter, pools, sent, load.snapshot)
-            await anyio.sleep(random.expovariate(load.rate_per_s))
+    with anyio.move_on_after(load.duration_s):
+        async with anyio.create_task_group() as group:
+            while True:
+                sent += 1
+                group.start_soon(_scatter, pools, sent, load.snapshot)
+                await anyio.sleep(random.expovariate(load.rate_per_s))
     return sent
 
 
+async def _open(
+    pools: dict[str, BackendPool],
+    stack: AsyncExitStack,
+) -> None:
+    for pool in pools.values():
+        await stack.enter_async_context(pool)
+
+
 async def _measure(load: Load) -> float:
     pools = {
-        name: BackendPool(_server(name, port), _CONNECTIONS)
+        name: BackendPool(make_server(name, port), CONNECTIONS)
         for name, port in load.ports.items()
     }
     async with AsyncExitStack() as stack:
-        for pool in pools.values():
-            await stack.enter_async_context(pool)
-        await _scatter(pools, 0, load.snapshot)
-        before_s = time.process_time()
-        sent = await _offer(pools, load)
-    return (time.process_time() - before_s) * _US_PER_S / (sent * len(pools))
+        await _open(pools, stack)
+        return await _measure_open(pools, load)
+
+
+async def _measure_open(
+    pools: dict[str, BackendPool],
+    load: Load,
+) -> float:
+    await _scatter(pools, 0, load.snapshot)
+    before_s = time.process_time()
+    sent = await _offer(pools, load)
+    used_s = time.process_time() - before_s
+    return used_s * _US_PER_S / (sent * len(pools))
 
 
 def main() -> None:
--- a/tools/bench/looks.py
+++ b/tools/bench/looks.py
@@ -1,6 +1,6 @@
 """What a fleet has counted and used so far."""
 
-from collections import Counter
+from collections.abc import Mapping
 from dataclasses import dataclass
 from typing import Any, Final, final
 
@@ -9,8 +9,9 @@
 
 from tools.fleet.clients import base_url
 from tools.fleet.fleet import Fleet
+from tools.fleet.layout import VmPlace
 
-__all__ = ('Look', 'Maxima', 'look_at')
+__all__ = ('DaemonCounts', 'Look', 'Maxima', 'look_at')
 
 _CALL_S: Final = 5
 
@@ -25,31 +26,35 @@
     connections: int
 
 
+@final
+@dataclass(frozen=True, slots=True)
+class DaemonCounts:
+    """What one daemon counted and used since it started.
+
+    :ivar primaries: first sub-requests.
+    :ivar cpu_s: processor time.
+    """
+
+    primaries: int
+    extra_load: int
+    cpu_s: float
+
+
 @final
 @dataclass(frozen=True, slots=True)
 class Look:
-    """Counts since the fleet began.
+    """Counts since the fleet began, of the daemons that answer.
 
     :ivar starts: calls that backend servers started.
-    :ivar cpu_s: processor time of all daemons.
-    :ivar primaries: first sub-requests that the daemons counted.
     """
 
     starts: int
     maxima: Maxima
-    cpu_s: float
-    primaries: int
-    extra_load: int
-    retries: Counter[str]
+    daemons: Mapping[str, DaemonCounts]
 
 
 def look_at(fleet: Fleet) -> Look:
     """Read every daemon and backend server that runs."""
-    statuses = [
-        _get(place.operator_port, '/v1/status')
-        for place in fleet.layout.vms
-        if fleet.members[place.vm].running
-    ]
     servers = [
         _get(place.port, '/control/maxima')
         for place in fleet.layout.backends
@@ -64,21 +69,32 @@
                 server['connections']['most'] for server in servers
             ),
         ),
-        cpu_s=sum(_cpu_s(fleet, vm) for vm in fleet.vms),
-        primaries=_total(statuses, 'primaries'),
-        extra_load=_total(statuses, 'extra_load'),
-        retries=sum(
-            (Counter(status['retries']) for status in statuses),
-            Counter(),
-        ),
+        daemons={
+            place.vm: _count(place, fleet)
+            for place in fleet.layout.vms
+            if _answers(fleet, place.vm)
+        },
+    )
+
+
+def _count(place: VmPlace, fleet: Fleet) -> DaemonCounts:
+    status = _get(place.operator_port, '/v1/status')
+    customers = status['customers'].values()
+    times = psutil.Process(fleet.members[place.vm].pid).cpu_times()
+    return DaemonCounts(
+        primaries=sum(customer['primaries'] for customer in customers),
+        extra_load=sum(customer['extra_load'] for customer in customers),
+        cpu_s=float(times.user + times.system),
     )
 
 
-def _total(statuses: list[dict[str, Any]], field: str) -> int:
-    return sum(
-        customer[field]
-        for status in statuses
-        for customer in status['customers'].values()
+def _answers(fleet: Fleet, vm: str) -> bool:
+    """Whether a daemon runs and is not frozen."""
+    process = fleet.members[vm]
+    if not process.running:
+        return False
+    return bool(
+        psutil.Process(process.pid).status() != psutil.STATUS_STOPPED,
     )
 
 
@@ -86,11 +102,3 @@
     response = httpx.get('{0}{1}'.format(base_url(port), path), timeout=_CALL_S)
     found: dict[str, Any] = response.raise_for_status().json()
     return found
-
-
-def _cpu_s(fleet: Fleet, vm: str) -> float:
-    process = fleet.members[vm]
-    if not process.running:
-        return 0
-    times = psutil.Process(process.pid).cpu_times()
-    return float(times.user + times.system)
--- a/tools/bench/runs.py
+++ b/tools/bench/runs.py
@@ -1,7 +1,6 @@
 """One run: a fleet, a load, faults on schedule, and what was measured."""
 
-from collections import Counter
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 from typing import Final, final
 
@@ -11,7 +10,7 @@
 from tools.fleet.fleet import Fleet
 
 from .load import offer
-from .looks import Look, Maxima, look_at
+from .looks import DaemonCounts, Look, Maxima, look_at
 from .outcomes import Outcome
 from .variants import Fault, Variant
 
@@ -39,7 +38,6 @@
     cpu_s: float
     primaries: int
     extra_load: int
-    retries: Counter[str]
 
     @property
     def extra_load_fraction(self) -> float:
@@ -62,18 +60,24 @@
     before: Look,
     after: Look,
 ) -> Run:
+    # A daemon that was lost on the way is left out on both sides.
+    earlier = [before.daemons[vm] for vm in after.daemons]
+    later = after.daemons.values()
     return Run(
         variant=variant,
         outcomes=outcomes,
         starts=after.starts - before.starts,
         maxima=after.maxima,
-        cpu_s=after.cpu_s - before.cpu_s,
-        primaries=after.primaries - before.primaries,
-        extra_load=after.extra_load - before.extra_load,
-        retries=after.retries - before.retries,
+        cpu_s=_sum(later, 'cpu_s') - _sum(earlier, 'cpu_s'),
+        primaries=int(_sum(later, 'primaries') - _sum(earlier, 'primaries')),
+        extra_load=int(_sum(later, 'extra_load') - _sum(earlier, 'extra_load')),
     )
 
 
+def _sum(daemons: Iterable[DaemonCounts], field: str) -> float:
+    return float(sum(getattr(daemon, field) for daemon in daemons))
+
+
 async def _warm_up(variant: Variant, fleet: Fleet) -> None:
     places = fleet.layout.vms
     await offer(variant.streams, places, _WARM_UP_S, _WARM_UP_SEED)
