--- a/src/dandelionstage/query/attempts.py
+++ b/src/dandelionstage/query/attempts.py
@@ -10,7 +10,7 @@
 from ..routing.targets import Target
 from .dispatch import Dispatch
 from .messages import Query, QueryCommand
-from .picking import pick_hedge, pick_next, pick_retry
+from .picking import pick_first, pick_hedge, pick_next, pick_retry
 from .shard import Attempt, ShardProgress, Shards
 from .stragglers import is_straggler, measure_wait
 from .tools import QueryTools, Tally
@@ -47,12 +47,17 @@
         self._tally = tally
 
     def begin(self, progress: ShardProgress, now_ms: float) -> _Commands:
-        """Make the first attempt."""
-        target = pick_next(self._query, progress, self._tools, now_ms)
-        if target is None:
+        """Make the first attempt, at times beside a slow place as well."""
+        picked = pick_first(self._query, progress, self._tools, now_ms)
+        if not picked:
             self._give_up(progress, Reason.NO_REPLICA)
-        else:
-            yield self._dispatch.send(progress, target, now_ms)
+            return
+        yield self._dispatch.send(progress, picked[0], now_ms)
+        budget = self._tools.budgets.of(self._query.contract)
+        for slow in picked[1:]:
+            if budget.take():
+                self._tally.events[Reason.HEDGED] += 1
+                yield self._dispatch.send(progress, slow, now_ms, probe=True)
 
     def move_on(
         self,
--- a/src/dandelionstage/query/scatter.py
+++ b/src/dandelionstage/query/scatter.py
@@ -9,7 +9,7 @@
 from .attempts import Attempts
 from .dispatch import Dispatch
 from .gather import Gather
-from .lessons import learn_from
+from .lessons import learn_from, learn_probe, learn_times
 from .messages import Query, QueryCommand
 from .shard import Attempt, Shards
 from .tools import QueryTools, Tally
@@ -70,7 +70,12 @@
             self._tally.events[Reason.BAD_REPLY] += 1
             return
         learn_from(reply, attempt, self.gather.pin, self._tools, now_ms)
-        self.shards[attempt.shard].out.pop(attempt.call)
+        progress = self.shards[attempt.shard]
+        progress.out.pop(attempt.call, None)
+        if not progress.open:
+            self._tally.add(reply.verdict)
+            learn_probe(attempt, reply.verdict, self._tools, now_ms)
+            return
         verdict = self._merge(attempt, reply)
         self._tally.add(verdict)
         if verdict.reason is Reason.OK:
@@ -106,12 +111,9 @@
         return Verdict(reply.verdict.run, fault)
 
     def _settle(self, attempt: Attempt, now_ms: float) -> _Commands:
-        """Cancel the attempts that lost to this one."""
-        self._tools.delays.observe(
-            self._workload,
-            attempt.shard,
-            now_ms - attempt.sent_ms,
-        )
+        """Cancel the attempts that lost to this one, but for a probe."""
         progress = self.shards[attempt.shard]
         self.shards.close(progress)
-        yield from self._dispatch.cancel(progress.out.values())
+        losers = [one for one in progress.out.values() if not one.probe]
+        learn_times(self._workload, attempt, losers, self._tools, now_ms)
+        yield from self._dispatch.cancel(losers)
--- a/src/dandelionstage/query/shard.py
+++ b/src/dandelionstage/query/shard.py
@@ -19,12 +19,16 @@
 @final
 @dataclass(frozen=True, slots=True)
 class Attempt:
-    """One sub-request that has not been answered yet."""
+    """One sub-request that has not been answered yet.
+
+    :ivar probe: sent to a slow place only to see how long it takes.
+    """
 
     call: CallId
     shard: ShardId
     target: Target
     sent_ms: float
+    probe: bool = False
 
 
 @final
--- a/src/dandelionstage/query/stragglers.py
+++ b/src/dandelionstage/query/stragglers.py
@@ -4,7 +4,7 @@
 from typing import Final, final
 
 from .messages import Query
-from .picking import find_patience_ms, is_owner_silent
+from .patience import find_patience_ms, is_owner_silent
 from .shard import ShardProgress, Shards
 from .tools import QueryTools
 
--- a/tests/matrix_query.py
+++ b/tests/matrix_query.py
@@ -357,7 +357,10 @@
     ('answer', 'repartition', 'n/a: coverage is stated of the pinned map'),
 )
 
+_SLOW: Final = 'tests/test_query_stragglers.py::'
+
 CELLS: Final = (
+    ('scatter', 'slow', '{0}test_slow_data_centre_is_passed_by'.format(_SLOW)),
     *(
         (step, fault, '{0}test_refused[{1}-{2}]'.format(_HERE, step, fault))
         for step, fault, *_ in REFUSED
