The verdict of each hop, over all that the hop before it may say

Cause: each hop makes a verdict of its own, and one that reads too much into the last one's would undo all care before it.

Change: property tests over every status, word and run of a backend server's reply, any bytes and any JSON in its place, every reason with and without a send, and every chain of verdicts that an action's attempts may bring. A request sent at time 0 counts as sent.

--- a/src/dandelionstage/backend/pool.py
+++ b/src/dandelionstage/backend/pool.py
@@ -18,7 +18,7 @@
 from .replies import read_cancelled, read_reply
 from .requests import encode_action, encode_cancel, encode_search
 
-__all__ = ('BackendPool',)
+__all__ = ('BackendPool', 'give_up')
 
 _DEFAULT_LIMITS: Final = ConnectionLimits()
 _SEARCH: Final = b'/v1/search'
@@ -83,7 +83,7 @@
         patience = Patience(self._carrier, self._limits, sub_request.action)
         end = await patience.carry(make)
         if isinstance(end, Failure):
-            return _give_up(
+            return give_up(
                 sub_request,
                 self._backend,
                 started_ms,
@@ -111,21 +111,21 @@
         await self._carrier.connections.close()
 
 
-def _give_up(
+def give_up(
     sub_request: SubRequest,
     backend: BackendId,
     started_ms: float,
     lost: Lost,
 ) -> AttemptOutcome:
+    """Judge an attempt without a reply: nothing sent means not run."""
     ended_ms = now_ms()
-    run = Run.MAY_HAVE_RUN
-    if lost.sent_at_ms is None:
-        run = Run.NOT_RUN
+    sent_at_ms = ended_ms if lost.sent_at_ms is None else lost.sent_at_ms
+    run = Run.NOT_RUN if lost.sent_at_ms is None else Run.MAY_HAVE_RUN
     verdict = Verdict(run, lost.reason, detail=lost.detail)
     return AttemptOutcome(
         sub_request.call,
         backend,
         verdict,
-        service_ms=ended_ms - (lost.sent_at_ms or ended_ms),
+        service_ms=ended_ms - sent_at_ms,
         hop_ms=ended_ms - started_ms,
     )
--- a/tests/test_action_truth.py
+++ b/tests/test_action_truth.py
@@ -260,6 +260,17 @@
     assert len(world.runs) == 1
 
 
+def test_forgotten_ticket_leaves_doubt_and_starts_nothing():
+    world, ticket = started()
+    world.flow(Run.RAN)
+    world.now_ms += LIFETIME_MS
+    world.mint('vm-1')
+    world.request(ticket, 'vm-2', BODY)
+    world.flow(Run.RAN)
+    assert told(world) == [Run.RAN, Run.MAY_HAVE_RUN]
+    assert len(world.runs) == 1
+
+
 def test_entry_killed_while_the_action_runs():
     world, ticket = started()
     world.replace('vm-2', 0)
--- /dev/null
+++ b/tests/test_action_verdicts.py
@@ -0,0 +1,145 @@
+"""The verdict of every hop, over all that the hop before it may say."""
+
+import json
+from dataclasses import replace
+from itertools import product
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+from returns.result import Failure
+
+from dandelionstage.actions.messages import FinishAction, Start
+from dandelionstage.backend.exchange import Lost, Reply
+from dandelionstage.backend.pool import give_up
+from dandelionstage.backend.replies import read_reply
+from dandelionstage.model.contract import Priority
+from dandelionstage.model.messages import (
+    OwnerKey,
+    SubReply,
+    SubRequest,
+)
+from dandelionstage.model.verdict import Reason, Run, Verdict, combine, not_run
+from tests.action_fakes import PIN, call, execution, only
+
+ACTION = SubRequest(
+    call='c-1',
+    request='r-1',
+    customer='vysocina',
+    owner_key=OwnerKey('dilna', 's-1', 'zdar'),
+    pin=PIN,
+    replicas=('b-1',),
+    priority=Priority.URGENT,
+    remaining_ms=500,
+    query_json='{}',
+    action=True,
+)
+FIND = replace(ACTION, action=False)
+WORDS = (
+    'draining',
+    'cold',
+    'overloaded',
+    'snapshot_gone',
+    'shard_moved',
+    'deadline_expired',
+    'cancelled',
+    'error',
+    'no such word',
+)
+RUNS = ('not_run', 'may_have_run', 'ran', 'no such word', None)
+STATUSES = (200, 400, 404, 409, 429, 500, 503, 504)
+
+verdicts = st.builds(Verdict, st.sampled_from(Run), st.sampled_from(Reason))
+
+
+def read(status, body):
+    """Read a reply to the action, as an outcome or a reason why not."""
+    return read_reply(ACTION, 'b-1', 0, Reply(status, body, 1))
+
+
+@pytest.mark.parametrize(
+    ('status', 'word', 'run'),
+    list(product(STATUSES, WORDS, RUNS)),
+)
+def test_not_run_needs_the_server_to_say_so(status, word, run):
+    body = {'call': 'c-1', 'backend': 'b-1', 'reason': word, 'run': run}
+    outcome = read(status, json.dumps(body).encode())
+    said = status != 200 and run in {'not_run', 'may_have_run'}
+    assert isinstance(outcome, Failure) != said
+    if said:
+        assert outcome.unwrap().verdict.run is Run(run)
+        assert outcome.unwrap().part is None
+
+
+@given(st.binary(max_size=80), st.sampled_from(STATUSES))
+def test_no_bytes_are_taken_for_a_reply(body, status):
+    assert isinstance(read(status, body), Failure)
+
+
+_json = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.text(max_size=5),
+    lambda inner: (
+        st.lists(inner, max_size=3)
+        | st.dictionaries(
+            st.sampled_from(['call', 'backend', 'records', 'run', 'outcome']),
+            inner,
+            max_size=4,
+        )
+    ),
+)
+
+
+@given(_json, st.sampled_from(STATUSES), st.booleans())
+def test_no_shape_of_json_ends_the_task(body, status, is_action):
+    sub_request = ACTION if is_action else FIND
+    reply = Reply(status, json.dumps(body).encode(), 1)
+    outcome = read_reply(sub_request, 'b-1', 0, reply)
+    assert isinstance(outcome, Failure)
+
+
+@pytest.mark.parametrize('record', [{}, {'record': 1}, {'record': None}])
+def test_record_without_an_id_is_no_record(record):
+    body = {
+        'call': 'c-1',
+        'backend': 'b-1',
+        'shard': 's-1',
+        'snapshot': 'n-1',
+        'shard_map_revision': 1,
+        'records': [{'record': 'x'}, record],
+    }
+    reply = Reply(200, json.dumps(body).encode(), 1)
+    assert isinstance(read_reply(FIND, 'b-1', 0, reply), Failure)
+
+
+@pytest.mark.parametrize('reason', Reason)
+@pytest.mark.parametrize('sent_at_ms', [None, 0.0, 1e9])
+def test_lost_request_is_not_run_only_if_nothing_was_sent(reason, sent_at_ms):
+    outcome = give_up(ACTION, 'b-1', 0, Lost(reason, sent_at_ms))
+    assert outcome.verdict.reason is reason
+    assert (outcome.verdict.run is Run.NOT_RUN) == (sent_at_ms is None)
+    assert outcome.verdict.run is not Run.RAN
+
+
+@given(st.lists(verdicts, max_size=8))
+def test_action_joins_the_verdicts_of_its_attempts(attempts):
+    running = execution(Start('a-1', call('t-1'), 1000))
+    command = only(running.start(0))
+    seen = []
+    for verdict in attempts:
+        if isinstance(command, FinishAction):
+            break
+        seen.append(verdict)
+        reply = SubReply(
+            call=command.sub_request.call,
+            verdict=verdict,
+            answered_by=command.vm,
+            backend=command.sub_request.replicas[0],
+        )
+        command = only(running.receive(reply, 1))
+    if isinstance(command, FinishAction):
+        joined = not_run(Reason.OK)
+        for verdict in seen:
+            joined = combine(joined, verdict)
+        assert command.outcome.verdict.run is joined.run
+    doubts = [one for one in seen if one.run is not Run.NOT_RUN]
+    assert doubts in ([], seen[-1:])
