--- a/src/dandelionstage/query/lessons.py
+++ b/src/dandelionstage/query/lessons.py
@@ -4,11 +4,11 @@
 
 from ..model.ids import WorkloadId
 from ..model.messages import Pin, SubReply
-from ..model.verdict import Reason
+from ..model.verdict import Reason, Verdict
 from .shard import Attempt
 from .tools import QueryTools
 
-__all__ = ('learn_from', 'learn_times')
+__all__ = ('learn_from', 'learn_probe', 'learn_times')
 
 
 def learn_from(
@@ -25,10 +25,11 @@
     backend = reply.backend
     if backend is None:
         return
-    if reply.held_snapshots or reason is Reason.SNAPSHOT_GONE:
+    if reply.held_snapshots:
         tools.held.learn(backend, reply.held_snapshots, now_ms)
-    if reason is Reason.SHARD_MOVED:
-        tools.held.note_moved(backend, attempt.shard, pin, now_ms)
+    unexplained = reason is Reason.SNAPSHOT_GONE and not reply.held_snapshots
+    if unexplained or reason is Reason.SHARD_MOVED:
+        tools.held.note_lacking(backend, attempt.shard, pin, now_ms)
 
 
 def learn_times(
@@ -48,3 +49,15 @@
             now_ms - loser.sent_ms,
             now_ms,
         )
+
+
+def learn_probe(
+    probe: Attempt,
+    verdict: Verdict,
+    tools: QueryTools,
+    now_ms: float,
+) -> None:
+    """Keep how long a slow place took, though another one was faster."""
+    if verdict.reason is Reason.OK:
+        elapsed_ms = now_ms - probe.sent_ms
+        tools.times.observe(probe.target.owner_key, elapsed_ms, now_ms)
--- a/src/dandelionstage/retries/hedging.py
+++ b/src/dandelionstage/retries/hedging.py
@@ -13,7 +13,9 @@
 _WORKLOAD_SAMPLES: Final = 512
 #: Fewer than this say nothing of a tail.
 _ENOUGH_SAMPLES: Final = 8
-_QUANTILE: Final = 0.95
+_SHARD_QUANTILE: Final = 0.95
+#: Low enough that a few slow shards do not set the workload's figure.
+_WORKLOAD_QUANTILE: Final = 0.9
 #: A shard may be this many times slower than its workload before the
 #: workload's figure counts: a shard with one slow replica must not hide it.
 _SHARD_TO_WORKLOAD: Final = 2
@@ -37,12 +39,12 @@
         self._arrived.append(elapsed_ms)
         insort(self._sorted, elapsed_ms)
 
-    def quantile_ms(self) -> float | None:
-        """Return the delay's quantile, ``None`` with too few samples."""
+    def quantile_ms(self, quantile: float) -> float | None:
+        """Return a quantile, ``None`` with too few samples."""
         count = len(self._sorted)
         if count < _ENOUGH_SAMPLES:
             return None
-        return self._sorted[int(count * _QUANTILE)]
+        return self._sorted[int(count * quantile)]
 
 
 @final
@@ -82,7 +84,7 @@
         """Return how long to wait for this shard before a hedge."""
         whole_ms = self.typical_ms(workload)
         window = self._shards.get((workload, shard))
-        shard_ms = window.quantile_ms() if window else None
+        shard_ms = window.quantile_ms(_SHARD_QUANTILE) if window else None
         if shard_ms is None:
             return whole_ms
         return max(_LEAST_MS, min(shard_ms, whole_ms * _SHARD_TO_WORKLOAD))
@@ -90,5 +92,5 @@
     def typical_ms(self, workload: WorkloadId) -> float:
         """Return the time by which most shards of a workload answer."""
         whole = self._workloads.get(workload)
-        whole_ms = whole.quantile_ms() if whole else None
+        whole_ms = whole.quantile_ms(_WORKLOAD_QUANTILE) if whole else None
         return _DEFAULT_MS if whole_ms is None else max(_LEAST_MS, whole_ms)
