--- a/tools/bench/load.py
+++ b/tools/bench/load.py
@@ -103,4 +103,7 @@
         status, payload = await balancer.post(headers, body)
     except (httpcore.NetworkError, httpcore.ProtocolError) as error:
         return Ending.FAILED, type(error).__name__
-    return read_reply(status, json.loads(payload))
+    try:
+        return read_reply(status, json.loads(payload))
+    except ValueError:
+        return Ending.FAILED, 'no JSON'
