Documents spread: proofs over a fleet on virtual time

Cause: accepted documents must be in force on every reachable daemon within 2 s at today's sizes and never revert. A restart while the service is down waited 3 s; a failed read now counts as having asked it. Left: a valid edit that an invalid one replaces before anybody read it is lost, because the service gives only the newest. Ruled out as a guard: eager push; probes alone are in time too (test).

--- a/src/dandelionstage/configuration/spread.py
+++ b/src/dandelionstage/configuration/spread.py
@@ -101,10 +101,10 @@
 
     def finish_heads(self, heads: Heads | None, now_ms: float) -> None:
         """Take the outcome of ``ReadHeads``, ``None`` if it failed."""
+        self._start.note_read()
         if heads is None:
             self.counts.failed_reads += 1
         else:
-            self._start.note_heads()
             self.counts.note_heads(heads, self._store.held())
         self._watch.finish_heads(heads, now_ms, self._role(now_ms))
 
--- a/src/dandelionstage/configuration/start.py
+++ b/src/dandelionstage/configuration/start.py
@@ -35,7 +35,7 @@
         self._started_ms: float | None = None
         self._asked_ms: dict[VmId, float] = {}
         self._answered: set[VmId] = set()
-        self._heads_read = False
+        self._service_asked = False
 
     def ask(self, peers: Sequence[VmId], now_ms: float) -> tuple[VmId, ...]:
         """Give the peers to ask now."""
@@ -61,9 +61,12 @@
         self._asked_ms.pop(vm, None)
         self._answered.add(vm)
 
-    def note_heads(self) -> None:
-        """Take note that the service said what it has."""
-        self._heads_read = True
+    def note_read(self) -> None:
+        """Take note that the service was asked, whether it answered or not.
+
+        While it is down, peers that serve know all that there is to know.
+        """
+        self._service_asked = True
 
     def enough(
         self,
@@ -84,6 +87,6 @@
         answers_wanted = min(_ANSWERS, len(peers))
         return (
             complete
-            and self._heads_read
+            and self._service_asked
             and len(self._answered) >= answers_wanted
         )
--- a/src/dandelionstage/configuration/watch.py
+++ b/src/dandelionstage/configuration/watch.py
@@ -30,7 +30,7 @@
 
 #: All VMs of a data centre that are no readers look once in this time, so
 #: that a reader cut off from the service alone is made up for.
-_CHECK_MS: Final = 15_000
+_CHECK_MS: Final = 3000
 
 #: Starting VMs spread their first read over this time.
 _START_SPREAD_MS: Final = 300
--- /dev/null
+++ b/tests/test_configuration_spread.py
@@ -0,0 +1,315 @@
+"""Accepted documents are in force everywhere in 2 s and never revert."""
+
+import pytest
+
+from dandelionstage.model.ids import DocumentKey, VmId
+from tests.configuration_fleet import (
+    CUSTOMER,
+    DOWN,
+    HOME,
+    KEY,
+    OK,
+    OLDER,
+    STALE,
+    TODAY,
+    WatchedFleet,
+)
+from tools.virtual.documents import contract_json
+from tools.virtual.service import SERVICE
+
+_LIMIT_MS = 2000
+_LONG_MS = 20_000
+#: Each of five VMs looks at the service at least this often.
+_CHECK_MS = 25_000
+
+
+@pytest.fixture(params=range(2))
+def fleet(request):
+    return WatchedFleet(request.param)
+
+
+def _cut_from_service(fleet: WatchedFleet, *vms: VmId) -> None:
+    fleet.network.broken_pairs.update(frozenset((vm, SERVICE)) for vm in vms)
+
+
+def _freeze_a_reading_one(fleet: WatchedFleet) -> VmId:
+    counts = {vm: fleet.vms[vm].spread.counts for vm in fleet.readers()}
+    reads = {vm: counts[vm].document_reads for vm in counts}
+    while True:
+        fleet.network.run(0.1)
+        for vm in counts:
+            if counts[vm].document_reads > reads[vm]:
+                fleet.vms[vm].process.freeze()
+                return vm
+
+
+# Read.
+
+
+def test_an_edit_is_in_force_in_time(fleet):
+    fleet.wait_until_held(fleet.edit(), _LIMIT_MS)
+
+
+def test_an_edit_spreads_though_its_readers_are_killed(fleet):
+    fleet.stop(fleet.readers())
+    fleet.wait_until_held(fleet.edit(), _LIMIT_MS)
+
+
+def test_an_edit_spreads_past_frozen_readers_and_reaches_them_late(fleet):
+    readers = [vm for vm in fleet.readers() if vm not in fleet.names_in('zdar')]
+    for vm in readers:
+        fleet.vms[vm].process.freeze()
+    revision = fleet.edit()
+    fleet.run(_LIMIT_MS)
+    for vm, running in fleet.vms.items():
+        held = running.store.held()[KEY] == revision
+        assert held != (vm in readers)
+    fleet.run(_LONG_MS)
+    for vm in readers:
+        fleet.vms[vm].process.wake()
+    fleet.wait_until_held(revision, _LIMIT_MS)
+
+
+def test_one_reader_that_reaches_the_service_is_enough(fleet):
+    _cut_from_service(fleet, *list(fleet.vms)[1:])
+    fleet.run(_LONG_MS)
+    fleet.wait_until_held(fleet.edit(), _CHECK_MS)
+
+
+def test_a_watch_that_goes_silent_is_replaced(fleet):
+    _cut_from_service(fleet, *fleet.vms)
+    revision = fleet.edit()
+    fleet.run(1000)
+    fleet.network.broken_pairs.clear()
+    fleet.wait_until_held(revision, _LIMIT_MS)
+
+
+def test_an_edit_spreads_though_most_replies_of_the_service_are_lost(fleet):
+    fleet.network.lost_fraction = 0.3
+    fleet.wait_until_held(fleet.edit(), 4 * _LIMIT_MS)
+
+
+def test_a_document_that_is_named_but_not_given_is_asked_for_anew(fleet):
+    fleet.service.withheld.add(KEY)
+    revision = fleet.edit()
+    fleet.run(_LONG_MS)
+    reads = fleet.service.reads
+    fleet.run(10_000)
+    assert (fleet.service.reads - reads) / 10 < 40
+    fleet.service.withheld.clear()
+    fleet.wait_until_held(revision, 4 * _LIMIT_MS)
+
+
+def test_a_document_older_than_its_name_says_reverts_nothing(fleet):
+    """The service's history is ahead of the documents it gives."""
+    before = fleet.service.replicas[HOME].document(KEY)
+    fleet.wait_until_held(fleet.edit(), _LIMIT_MS)
+    fleet.service.lagging[KEY] = before
+    revision = fleet.edit()
+    fleet.run(_LONG_MS)
+    fleet.service.lagging.clear()
+    fleet.wait_until_held(revision, 4 * _LIMIT_MS)
+
+
+# Accept.
+
+
+def test_two_edits_end_at_the_second(fleet):
+    fleet.edit(100)
+    revision = fleet.edit(200)
+    fleet.wait_until_held(revision, _LIMIT_MS)
+    fleet.run(_LIMIT_MS)
+    assert fleet.revisions(KEY) == {revision}
+
+
+def test_an_edit_and_a_withdrawal_end_at_the_withdrawal(fleet):
+    fleet.edit()
+    fleet.run(20)
+    revision = fleet.withdraw()
+    fleet.wait_until_held(revision, _LIMIT_MS)
+    for vm in fleet.vms.values():
+        assert not vm.store.topology.contracts
+
+
+def test_an_invalid_edit_between_two_valid_ones_is_never_in_force(fleet):
+    fleet.edit(100)
+    fleet.run(500)
+    refused = fleet.edit(-1)
+    fleet.run(500)
+    assert refused not in fleet.revisions(KEY)
+    for vm in fleet.vms.values():
+        contracts = vm.store.topology.contracts
+        assert contracts[CUSTOMER].p99_ms == 100
+    fleet.wait_until_held(fleet.edit(300), _LIMIT_MS)
+    assert sum(vm.spread.counts.invalid for vm in fleet.vms.values())
+
+
+def test_an_invalid_edit_is_not_read_again_and_again(fleet):
+    fleet.edit(-1)
+    fleet.run(1000)
+    reads = fleet.service.reads
+    fleet.run(10_000)
+    watches = 10 * len(fleet.readers()) / 1.5
+    assert fleet.service.reads - reads < 1.3 * watches
+
+
+# Spread.
+
+
+def test_messages_doubled_and_overtaken_do_no_harm(fleet):
+    fleet.network.doubled_fraction = 0.5
+    fleet.network.longest_ms = 120
+    for p99_ms in range(100, 105):
+        revision = fleet.edit(p99_ms)
+        fleet.run(100)
+    fleet.wait_until_held(revision, _LIMIT_MS)
+    fleet.run(_LIMIT_MS)
+    assert fleet.revisions(KEY) == {revision}
+
+
+def test_an_edit_spreads_though_a_fifth_of_messages_is_lost(fleet):
+    fleet.network.lost_fraction = 0.2
+    fleet.wait_until_held(fleet.edit(), 2 * _LIMIT_MS)
+
+
+def test_probes_alone_spread_an_edit(fleet, monkeypatch):
+    monkeypatch.setattr(
+        'dandelionstage.configuration.spread.pass_on',
+        lambda *_args: (),
+    )
+    fleet.wait_until_held(fleet.edit(), _LIMIT_MS)
+
+
+def test_a_data_centre_cut_from_the_service_hears_from_the_others(fleet):
+    _cut_from_service(fleet, *fleet.names_in('jihlava'))
+    fleet.run(_LONG_MS)
+    fleet.wait_until_held(fleet.edit(), _LIMIT_MS)
+
+
+def test_two_sides_of_a_partition_converge_on_the_newer(fleet):
+    fleet.cut_off('jihlava', service=False)
+    fleet.service.treat(STALE, HOME)
+    revision = fleet.edit(200)
+    fleet.run(_LONG_MS)
+    assert len(fleet.revisions(KEY)) == 2
+    fleet.cut_off()
+    fleet.wait_until_held(revision, 2 * _LIMIT_MS)
+
+
+def test_two_sides_that_each_have_something_new_converge_on_both(fleet):
+    """A split service gave each side another document, no revision higher."""
+    other = DocumentKey('contract/ringers')
+    fleet.cut_off('jihlava', service=False)
+    for place, replica in fleet.service.replicas.items():
+        key = KEY if place == HOME else other
+        replica.write(key, contract_json(key.partition('/')[2]))
+    fleet.run(4000)
+    fleet.cut_off()
+    _cut_from_service(fleet, *fleet.vms)
+    revision = fleet.service.replicas[HOME].revision
+    fleet.wait_until_held(revision, 2 * _LIMIT_MS)
+    fleet.run(_LIMIT_MS)
+    assert fleet.revisions(other) == {revision}
+
+
+def test_a_document_read_before_a_pause_reverts_nobody(fleet):
+    """A reader freezes while it waits for a document, and wakes with it."""
+    fleet.edit(200)
+    frozen = _freeze_a_reading_one(fleet)
+    revision = fleet.edit(300)
+    fleet.run(_LONG_MS)
+    fleet.vms[frozen].process.wake()
+    fleet.run(_LIMIT_MS)
+    assert fleet.revisions(KEY) == {revision}
+
+
+# Service down or stale.
+
+
+def test_an_edit_made_while_the_service_is_down_is_in_force_soon_after(fleet):
+    fleet.service.treat(DOWN)
+    revision = fleet.edit()
+    fleet.run(_LONG_MS)
+    assert revision not in fleet.revisions(KEY)
+    fleet.service.treat(OK)
+    fleet.wait_until_held(revision, _LIMIT_MS)
+
+
+@pytest.mark.parametrize('mode', [DOWN, STALE, OLDER])
+def test_vms_restarted_one_by_one_without_a_good_service_serve(fleet, mode):
+    revision = fleet.edit()
+    fleet.wait_until_held(revision, _LIMIT_MS)
+    fleet.service.treat(mode, visible=1)
+    for vm in fleet.published:
+        fleet.start([vm], incarnation=2)
+        fleet.run(4000)
+        assert fleet.all_ready()
+    assert fleet.revisions(KEY) == {revision}
+
+
+def test_one_serving_vm_is_enough_for_all_others_that_restart(fleet):
+    revision = fleet.edit()
+    fleet.wait_until_held(revision, _LIMIT_MS)
+    fleet.service.treat(OLDER, visible=5)
+    names = sorted(fleet.published)
+    fleet.start(names[1:], incarnation=2)
+    fleet.run(6000)
+    assert fleet.all_ready()
+    assert fleet.revisions(KEY) == {revision}
+
+
+def test_a_service_back_with_an_older_state_reverts_nothing(fleet):
+    revision = fleet.edit()
+    fleet.wait_until_held(revision, _LIMIT_MS)
+    fleet.service.treat(DOWN)
+    fleet.run(5000)
+    fleet.service.treat(OLDER, visible=1)
+    fleet.run(_LONG_MS)
+    assert fleet.revisions(KEY) == {revision}
+    fleet.service.treat(OK)
+    fleet.wait_until_held(fleet.edit(), _LIMIT_MS)
+
+
+def test_stale_readers_in_one_data_centre_hold_nobody_back(fleet):
+    fleet.service.treat(STALE, HOME)
+    fleet.wait_until_held(fleet.edit(), _LIMIT_MS)
+    fleet.run(_LONG_MS)
+
+
+def test_a_withdrawn_document_stays_withdrawn(fleet):
+    fleet.withdraw()
+    fleet.run(_LIMIT_MS)
+    fleet.service.treat(OLDER, visible=5)
+    fleet.start([VmId('jihlava-0')], incarnation=2)
+    fleet.run(_LONG_MS)
+    for vm in fleet.vms.values():
+        assert not vm.store.topology.contracts
+
+
+# Cut off.
+
+
+@pytest.mark.parametrize('data_centre', TODAY)
+def test_a_data_centre_cut_off_from_all_goes_on_and_converges(
+    fleet,
+    data_centre,
+):
+    fleet.cut_off(data_centre)
+    revision = fleet.edit(200)
+    fleet.run(20_000)
+    inside = sorted(fleet.names_in(data_centre))
+    fleet.start(inside[:1], incarnation=2)
+    fleet.run(5000)
+    assert fleet.all_ready()
+    assert len(fleet.revisions(KEY)) == 2
+    fleet.cut_off()
+    fleet.wait_until_held(revision, 2 * _LIMIT_MS)
+
+
+def test_every_data_centre_alone_goes_on_and_converges(fleet):
+    fleet.cut_off(*TODAY)
+    revision = fleet.edit(200)
+    fleet.run(20_000)
+    assert fleet.all_ready()
+    fleet.cut_off()
+    fleet.wait_until_held(revision, 2 * _LIMIT_MS)
--- a/tools/virtual/fleet.py
+++ b/tools/virtual/fleet.py
@@ -1,7 +1,7 @@
 """A fleet of VMs and a configuration service on virtual time."""
 
 from collections.abc import Iterable, Mapping
-from typing import Final, final
+from typing import Final
 
 from dandelionstage.configuration.topology import PlacedVm
 from dandelionstage.membership.messages import Identity
@@ -27,7 +27,6 @@
 _STEP_MS: Final = 10
 
 
-@final
 class VirtualFleet:  # noqa: WPS214 -- what tests do to a fleet, by name
     """Starts, stops, freezes and cuts off VMs.
 
--- a/tools/virtual/network.py
+++ b/tools/virtual/network.py
@@ -22,7 +22,9 @@
 
     :ivar now_ms: virtual time.
     :ivar random: the one source of chance, so that a seed repeats a run.
+    :ivar longest_ms: one way; the longer, the more messages overtake.
     :ivar lost_fraction: share of messages that get lost.
+    :ivar doubled_fraction: share of messages that arrive twice.
     :ivar broken_pairs: pairs of ends that cannot reach each other.
     :ivar spared: ends that no cut between sides affects.
     """
@@ -31,7 +33,9 @@
         """Start at time zero with nothing to do."""
         self.now_ms: float = 0
         self.random = random.Random(seed)
+        self.longest_ms = _LONGEST_MS
         self.lost_fraction: float = 0
+        self.doubled_fraction: float = 0
         self.broken_pairs: set[frozenset[str]] = set()
         self.spared: set[str] = set()
         self._queue: list[_Event] = []
@@ -54,7 +58,9 @@
             return
         if self.cut_between(source, target):
             return
-        self.after(self.random.uniform(_SHORTEST_MS, _LONGEST_MS), deliver)
+        self._deliver_later(deliver)
+        if self.random.random() < self.doubled_fraction:
+            self._deliver_later(deliver)
 
     def cut(self, *sides: frozenset[str]) -> None:
         """Cut these sides off from each other; no side heals all."""
@@ -76,3 +82,7 @@
             self.now_ms = due_ms
             callback()
         self.now_ms = end_ms
+
+    def _deliver_later(self, deliver: _Callback) -> None:
+        delay_ms = self.random.uniform(_SHORTEST_MS, self.longest_ms)
+        self.after(delay_ms, deliver)
--- a/tools/virtual/process.py
+++ b/tools/virtual/process.py
@@ -18,6 +18,11 @@
         self.running = True
         self._held_back: list[Callable[[], None]] | None = None
 
+    @property
+    def frozen(self) -> bool:
+        """Whether callbacks are held back."""
+        return self._held_back is not None
+
     def run(self, callback: Callable[[], None]) -> None:
         """Run a callback when the process can."""
         if not self.running:
--- a/tools/virtual/service.py
+++ b/tools/virtual/service.py
@@ -50,6 +50,8 @@
 
     :ivar replicas: what readers of each place see.
     :ivar reads: calls so far, a waiting watch counted as one.
+    :ivar withheld: documents that are named but not given.
+    :ivar lagging: documents of which an older revision is given.
     """
 
     def __init__(
@@ -60,6 +62,8 @@
         """Hold nothing yet."""
         self.replicas = {place: ConfigHistory() for place in places}
         self.reads = 0
+        self.withheld: set[DocumentKey] = set()
+        self.lagging: dict[DocumentKey, Document] = {}
         self._network = network
         self._watches: list[_Watch] = []
 
@@ -153,5 +157,7 @@
     ) -> None:
         self.reads += 1
         replica = self._replica(reader)
-        document = None if replica is None else replica.document(key)
+        document = None
+        if replica is not None and key not in self.withheld:
+            document = self.lagging.get(key, replica.document(key))
         self._network.carry(SERVICE, reader.vm, lambda: reply(document))
--- a/tools/virtual/vm.py
+++ b/tools/virtual/vm.py
@@ -92,8 +92,8 @@
         self.members = Members(identity, self.store.digest, chance)
         self.members.publish(seeds)
         self._seeds = seeds
-        peers = view_peers(self.members, identity)
-        self.spread = Spread(self.store, peers, chance)
+        self.peers = view_peers(self.members, identity)
+        self.spread = Spread(self.store, self.peers, chance)
         self._around = surroundings
         self._topology = self.store.topology
         surroundings.network.after(chance.uniform(0, _TICK_MS), self._tick)
