--- a/src/dandelionstage/configuration/pushes.py
+++ b/src/dandelionstage/configuration/pushes.py
@@ -12,7 +12,7 @@
 __all__ = ('NOT_ASKED_FOR', 'pass_on', 'send_all')
 
 #: VMs of the own data centre, and of others, that a new document is sent to.
-_NEAR_PUSHES: Final = 2
+_NEAR_PUSHES: Final = 1
 _FAR_PUSHES: Final = 1
 
 #: Larger documents are left to be pulled, so that each VM gets one copy.
--- a/src/dandelionstage/configuration/store.py
+++ b/src/dandelionstage/configuration/store.py
@@ -8,7 +8,7 @@
 import xxhash
 from returns.result import Failure, Success
 
-from ..model.documents import Body, Document
+from ..model.documents import Body, Document, DocumentKind, kind_of
 from ..model.ids import DocumentKey, Revision
 from ..model.messages import Digest
 from .offers import Offer, OfferOutcome, judge_older, validate
@@ -48,17 +48,24 @@
         self._entries: dict[DocumentKey, _Entry] = {}
         self._held: dict[DocumentKey, Revision] = {}
         self._digest = Digest(0, Revision(0))
-        self._topology: Topology | None = EMPTY_TOPOLOGY
+        self._topology = EMPTY_TOPOLOGY
+        self._changed: set[DocumentKind] = set()
 
     @property
     def topology(self) -> Topology:
         """The documents in force, joined; the same object until a change."""
-        if self._topology is None:
-            self._topology = build_topology(
+        if self._changed:
+            bodies = (
                 (entry.document.revision, entry.body)
                 for entry in self._entries.values()
                 if entry.body is not None
             )
+            self._topology = build_topology(
+                bodies,
+                self._topology,
+                self._changed,
+            )
+            self._changed = set()
         return self._topology
 
     def offer(self, document: Document) -> Offer:
@@ -116,7 +123,9 @@
         self._digest = Digest(documents_hash, highest)
         self._entries[document.key] = entry
         self._held[document.key] = document.revision
-        self._topology = None
+        kind = kind_of(document.key)
+        if kind is not None:
+            self._changed.add(kind)
         self.refusals.clear(document.key, document.revision)
 
 
--- a/src/dandelionstage/configuration/topology_builder.py
+++ b/src/dandelionstage/configuration/topology_builder.py
@@ -1,43 +1,57 @@
 """Joins the documents in force into one topology."""
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Collection, Iterable, Mapping
+from dataclasses import replace
 from operator import itemgetter
 
 from ..model.contract import Contract
-from ..model.documents import Body
-from ..model.ids import BackendId, DataCentreId, Revision, VmId
+from ..model.documents import Body, DocumentKind
+from ..model.ids import (
+    BackendId,
+    CustomerId,
+    DataCentreId,
+    Revision,
+    VmId,
+    WorkloadId,
+)
 from ..model.topology import BackendList, Presence, VmList, Workload
 from .topology import PlacedBackend, PlacedVm, Topology, VmLists
 
 __all__ = ('build_topology',)
 
 
-def build_topology(bodies: Iterable[tuple[Revision, Body]]) -> Topology:
+def build_topology(
+    bodies: Iterable[tuple[Revision, Body]],
+    previous: Topology,
+    changed: Collection[DocumentKind],
+) -> Topology:
     """Join the bodies in force into one view.
 
     A VM or backend server published in two data centres stands where the
     later revision puts it: it has moved, and the older list lags.
 
     :param bodies: each valid body with the revision of its document.
+    :param previous: parts that have not changed are taken from it, the same
+        objects, so that others need not look at them again.
+    :param changed: the kinds of documents that have changed since.
     """
     ordered = [body for _revision, body in sorted(bodies, key=_order)]
-    vms = _place_vms(ordered)
-    return Topology(
-        contracts={
-            body.customer: body
-            for body in ordered
-            if isinstance(body, Contract)
-        },
-        workloads={
-            body.workload: body
-            for body in ordered
-            if isinstance(body, Workload)
-        },
-        backends=_place_backends(ordered),
-        vms=vms,
-        vm_lists=_list_vms(vms, Presence.LIVE),
-        leaving_vm_lists=_list_vms(vms, Presence.LEAVING),
-    )
+    topology = previous
+    if DocumentKind.CONTRACT in changed:
+        topology = replace(topology, contracts=_list_contracts(ordered))
+    if DocumentKind.WORKLOAD in changed:
+        topology = replace(topology, workloads=_list_workloads(ordered))
+    if DocumentKind.BACKENDS in changed:
+        topology = replace(topology, backends=_place_backends(ordered))
+    if DocumentKind.VMS in changed:
+        vms = _place_vms(ordered)
+        topology = replace(
+            topology,
+            vms=vms,
+            vm_lists=_list_vms(vms, Presence.LIVE),
+            leaving_vm_lists=_list_vms(vms, Presence.LEAVING),
+        )
+    return topology
 
 
 def _order(item: tuple[Revision, Body]) -> tuple[Revision, str]:
@@ -47,6 +61,18 @@
     return revision, ''
 
 
+def _list_contracts(bodies: Iterable[Body]) -> dict[CustomerId, Contract]:
+    return {
+        body.customer: body for body in bodies if isinstance(body, Contract)
+    }
+
+
+def _list_workloads(bodies: Iterable[Body]) -> dict[WorkloadId, Workload]:
+    return {
+        body.workload: body for body in bodies if isinstance(body, Workload)
+    }
+
+
 def _place_backends(
     bodies: Iterable[Body],
 ) -> dict[BackendId, PlacedBackend]:
--- a/src/dandelionstage/daemon/peer_view.py
+++ b/src/dandelionstage/daemon/peer_view.py
@@ -27,10 +27,10 @@
     hears of no other reads for itself.
     """
     own = identity.data_centre
-    readers = _Readers('reader/{0}'.format(own))
+    neighbours = _Neighbours(identity)
 
     def near() -> tuple[VmId, ...]:  # noqa: WPS430 -- a closure
-        return tuple(vm for vm in members.live(own) if vm != identity.vm)
+        return neighbours.others(members.live(own))
 
     def far() -> tuple[VmId, ...]:  # noqa: WPS430 -- a closure
         return tuple(
@@ -45,22 +45,34 @@
         live = members.live(own)
         if identity.vm not in live:
             return not near()
-        return identity.vm in readers.choose(live)
+        return identity.vm in neighbours.readers(live)
 
     return PeerView(near, far, reads)
 
 
-class _Readers:
-    def __init__(self, name: str) -> None:
-        self._name = name
+class _Neighbours:
+    """Remembers what was made of a list for as long as it is the same."""
+
+    def __init__(self, identity: Identity) -> None:
+        self._vm = identity.vm
+        self._name = 'reader/{0}'.format(identity.data_centre)
         self._live: tuple[VmId, ...] = ()
-        self._chosen: tuple[VmId, ...] = ()
+        self._readers: tuple[VmId, ...] = ()
+        self._others: tuple[VmId, ...] = ()
+
+    def readers(self, live: tuple[VmId, ...]) -> tuple[VmId, ...]:
+        self._use(live)
+        return self._readers
+
+    def others(self, live: tuple[VmId, ...]) -> tuple[VmId, ...]:
+        self._use(live)
+        return self._others
 
-    def choose(self, live: tuple[VmId, ...]) -> tuple[VmId, ...]:
+    def _use(self, live: tuple[VmId, ...]) -> None:
         if live is not self._live:
             self._live = live
-            self._chosen = rank_vms(self._name, live)[:_READERS]
-        return self._chosen
+            self._readers = rank_vms(self._name, live)[:_READERS]
+            self._others = tuple(vm for vm in live if vm != self._vm)
 
 
 def place_seeds(seeds: Iterable[SeedPeer]) -> dict[VmId, PlacedVm]:
--- a/src/dandelionstage/membership/gossip.py
+++ b/src/dandelionstage/membership/gossip.py
@@ -7,7 +7,7 @@
 from .messages import Identity, MemberState, Rumour
 from .roster import Roster
 from .rumours import RumourQueue
-from .standing import Standing
+from .standing import UNHEARD, Standing
 
 __all__ = ('Gossip',)
 
@@ -43,11 +43,17 @@
                 self.note(rumour.vm, standing)
 
     def note(self, vm: VmId, standing: Standing) -> bool:
-        """Take a belief about another VM and tell it on if it is news."""
-        is_news = self._roster.believe(vm, standing)
-        if is_news:
+        """Take a belief about another VM and tell it on if it is news.
+
+        That a published VM is alive is what all believe who have not heard
+        of it, so that a fleet which starts has nothing to tell.
+        """
+        before = self._roster.standing_of(vm)
+        is_taken = self._roster.believe(vm, standing)
+        expected = before is UNHEARD and standing.state is MemberState.ALIVE
+        if is_taken and not expected:
             self._queue.add(standing.told_of(vm))
-        return is_news
+        return is_taken
 
     def leave(self) -> None:
         """Say that this VM is stopping."""
--- a/src/dandelionstage/membership/roster.py
+++ b/src/dandelionstage/membership/roster.py
@@ -47,6 +47,8 @@
 
     def publish(self, vms: Vms) -> None:
         """Take the published list, keeping what is believed of its VMs."""
+        if vms is self._published:
+            return
         lists: dict[DataCentreId, list[VmId]] = {}
         for vm in sorted(vms):
             lists.setdefault(vms[vm].data_centre, []).append(vm)
--- a/src/dandelionstage/membership/rumours.py
+++ b/src/dandelionstage/membership/rumours.py
@@ -11,7 +11,7 @@
 __all__ = ('RumourQueue',)
 
 #: Rumours in one datagram, so that its size does not grow with the fleet.
-_PER_PROBE: Final = 6
+_PER_PROBE: Final = 3
 
 #: Each rumour is sent this many times the logarithm of the fleet's size.
 _REPEAT_FACTOR: Final = 3
--- a/tests/test_configuration_tasks.py
+++ b/tests/test_configuration_tasks.py
@@ -5,8 +5,10 @@
 import anyio
 import httpx
 import pytest
+from anyio.abc import SocketAttribute
 
-from dandelionstage.model.ids import DocumentKey
+from dandelionstage.daemon.service_client import ServiceClient
+from dandelionstage.model.ids import DocumentKey, Revision
 from tests.configuration_nodes import (
     HOST,
     Node,
@@ -62,3 +64,17 @@
 async def _run_with_client(url: str) -> None:
     async with httpx.AsyncClient(base_url=url, trust_env=False) as client:
         await _run_nodes(client, url)
+
+
+async def _read_from_silence() -> None:
+    listener = await anyio.create_tcp_listener(local_host=HOST)
+    port = listener.extra(SocketAttribute.local_port)
+    url = 'http://{0}:{1}'.format(HOST, port)
+    async with listener, ServiceClient(url) as client:
+        with anyio.fail_after(3):
+            assert await client.read_document(_KEY) is None
+            assert await client.read_heads(Revision(0), 100) is None
+
+
+def test_a_service_that_goes_silent_is_given_up():
+    anyio.run(_read_from_silence)
