Cells of the fault matrix for documents and leaving

Cause: every fault at the steps read, accept, spread and notice leaving needs a named proof or a reason why there is none. Found: none of the new tests found a fault.

--- /dev/null
+++ b/tests/matrix_configuration.py
@@ -0,0 +1,196 @@
+"""Cells of the fault matrix: documents from read to spread, and leaving.
+
+Each cell is a step, a fault, the test that proves it and its standing:
+``proved``, or ``n/a`` with the reason.
+"""
+
+from collections.abc import Callable
+from typing import Final
+
+__all__ = ('CELLS',)
+
+Cell = tuple[str, str, str, str]
+
+_PROVED: Final = 'proved'
+
+
+def _in_file(name: str) -> Callable[[str], str]:
+    return 'tests/test_{0}.py::test_{{0}}'.format(name).format
+
+
+_in_spread: Final = _in_file('configuration_spread')
+_in_store: Final = _in_file('configuration_store')
+_in_bounds: Final = _in_file('configuration_bounds')
+_in_members: Final = _in_file('members')
+_in_view: Final = _in_file('peer_view')
+
+_DOUBLED: Final = _in_spread('messages_doubled_and_overtaken_do_no_harm')
+_PAUSED: Final = _in_spread('a_document_read_before_a_pause_reverts_nobody')
+_WHOLE: Final = _in_store(
+    'an_invalid_edit_between_two_valid_ones_is_refused_whole'
+)
+_RESTARTED: Final = _in_spread(
+    'vms_restarted_one_by_one_without_a_good_service_serve'
+)
+_NO_LIST: Final = _in_members('leaving_is_noticed_without_the_published_list')
+_FINAL: Final = _in_members('leaving_is_final_until_a_new_incarnation')
+_EDIT: Final = _in_spread('an_edit_is_in_force_in_time')
+
+_READ: Final = (
+    ('kill', _in_spread('an_edit_spreads_though_its_readers_are_killed')),
+    (
+        'freeze and wake',
+        _in_spread('an_edit_spreads_past_frozen_readers_and_reaches_them_late'),
+    ),
+    ('cut', _in_spread('one_reader_that_reaches_the_service_is_enough')),
+    ('silence', _in_spread('a_watch_that_goes_silent_is_replaced')),
+    ('slow', _in_spread('a_slow_network_delays_an_edit_but_loses_nothing')),
+    (
+        'lost reply',
+        _in_spread(
+            'an_edit_spreads_though_most_replies_of_the_service_are_lost'
+        ),
+    ),
+    ('duplicate', _DOUBLED),
+    ('reorder', _PAUSED),
+    ('shed', _in_bounds('failed_reads_are_spaced_out')),
+    ('snapshot switch', _EDIT),
+    ('repartition', _EDIT),
+    (
+        'service down',
+        _in_spread(
+            'an_edit_made_while_the_service_is_down_is_in_force_soon_after'
+        ),
+    ),
+    (
+        'service stale',
+        _in_spread('stale_readers_in_one_data_centre_hold_nobody_back'),
+    ),
+    (
+        'view disagreement',
+        _in_spread('an_edit_spreads_while_nobody_thinks_that_it_reads'),
+    ),
+)
+
+_ACCEPT: Final = (
+    ('kill', _RESTARTED),
+    ('freeze and wake', _PAUSED),
+    ('cut', _in_spread('a_data_centre_cut_off_from_all_goes_on_and_converges')),
+    (
+        'silence',
+        _in_spread('a_document_that_is_named_but_not_given_is_asked_for_anew'),
+    ),
+    ('slow', _in_spread('a_slow_network_delays_an_edit_but_loses_nothing')),
+    (
+        'lost reply',
+        _in_spread('an_edit_spreads_though_a_fifth_of_messages_is_lost'),
+    ),
+    ('duplicate', _DOUBLED),
+    ('reorder', _in_store('any_order_of_arrival_ends_at_the_newest_valid')),
+    ('snapshot switch', _WHOLE),
+    ('repartition', _WHOLE),
+    (
+        'service down',
+        _in_spread('a_service_back_with_an_older_state_reverts_nothing'),
+    ),
+    (
+        'service stale',
+        _in_spread('a_document_older_than_its_name_says_reverts_nothing'),
+    ),
+    (
+        'view disagreement',
+        _in_store('another_body_at_the_same_revision_is_refused'),
+    ),
+)
+
+_SPREAD_CELLS: Final = (
+    (
+        'kill',
+        _in_spread('one_serving_vm_is_enough_for_all_others_that_restart'),
+    ),
+    ('freeze and wake', _PAUSED),
+    ('cut', _in_spread('two_sides_of_a_partition_converge_on_the_newer')),
+    (
+        'silence',
+        _in_spread('peers_silent_to_each_other_hear_from_the_rest'),
+    ),
+    ('slow', _in_spread('a_slow_network_delays_an_edit_but_loses_nothing')),
+    (
+        'lost reply',
+        _in_spread('an_edit_spreads_though_a_fifth_of_messages_is_lost'),
+    ),
+    ('duplicate', _DOUBLED),
+    ('reorder', _DOUBLED),
+    ('drain', _in_view('two_of_five_read_and_another_takes_over')),
+    ('snapshot switch', _EDIT),
+    ('repartition', _EDIT),
+    (
+        'service down',
+        _in_spread('a_data_centre_cut_from_the_service_hears_from_the_others'),
+    ),
+    ('service stale', _RESTARTED),
+    (
+        'view disagreement',
+        _in_spread('two_sides_that_each_have_something_new_converge_on_both'),
+    ),
+)
+
+_LEAVING: Final = (
+    (
+        'kill',
+        _in_members(
+            'a_lost_vm_is_suspected_in_its_data_centre_within_two_seconds'
+        ),
+    ),
+    (
+        'freeze and wake',
+        _in_members('a_vm_that_was_frozen_is_trusted_again_soon'),
+    ),
+    ('cut', _in_members('a_cut_data_centre_is_trusted_again_after_healing')),
+    ('silence', _in_members('a_vm_reached_by_others_is_not_suspected')),
+    ('slow', _in_members('a_slow_network_makes_nobody_suspected')),
+    ('lost reply', _in_members('nobody_is_suspected_in_a_healthy_fleet')),
+    (
+        'duplicate',
+        _in_members('doubled_and_overtaken_probes_change_no_belief'),
+    ),
+    ('reorder', _in_members('beliefs_come_out_the_same_in_any_order')),
+    ('drain', _FINAL),
+    ('service down', _NO_LIST),
+    ('service stale', _NO_LIST),
+    (
+        'view disagreement',
+        _in_members('leaving_never_reverts_within_an_incarnation'),
+    ),
+)
+
+_NO_SHED: Final = 'n/a: peers do not shed documents or probes'
+_NO_DRAIN: Final = 'n/a: the configuration service does not drain'
+_NO_SNAPSHOT: Final = 'n/a: liveness of VMs does not depend on snapshots'
+
+_NOT_APPLICABLE: Final = (
+    ('read', 'drain', '', _NO_DRAIN),
+    ('accept', 'shed', '', _NO_SHED),
+    ('accept', 'drain', '', _NO_DRAIN),
+    ('spread', 'shed', '', _NO_SHED),
+    ('notice leaving', 'shed', '', _NO_SHED),
+    ('notice leaving', 'snapshot switch', '', _NO_SNAPSHOT),
+    ('notice leaving', 'repartition', '', _NO_SNAPSHOT),
+)
+
+_STEPS: Final = (
+    ('read', _READ),
+    ('accept', _ACCEPT),
+    ('spread', _SPREAD_CELLS),
+    ('notice leaving', _LEAVING),
+)
+
+#: Step, fault, test and standing.
+CELLS: Final[tuple[Cell, ...]] = (
+    *(
+        (step, fault, test, _PROVED)
+        for step, proofs in _STEPS
+        for fault, test in proofs
+    ),
+    *_NOT_APPLICABLE,
+)
--- a/tests/test_configuration_spread.py
+++ b/tests/test_configuration_spread.py
@@ -1,5 +1,7 @@
 """Accepted documents are in force everywhere in 2 s and never revert."""
 
+from itertools import combinations
+
 import pytest
 
 from dandelionstage.model.ids import DocumentKey, VmId
@@ -180,6 +182,36 @@
     fleet.wait_until_held(fleet.edit(), _LIMIT_MS)
 
 
+def test_a_slow_network_delays_an_edit_but_loses_nothing(fleet):
+    fleet.network.longest_ms = 300
+    fleet.wait_until_held(fleet.edit(), 2 * _LIMIT_MS)
+
+
+def test_peers_silent_to_each_other_hear_from_the_rest(fleet):
+    """No two VMs of a data centre reach each other; each thinks it is alone.
+
+    So their views of who reads differ too: each of them does.
+    """
+    home = sorted(fleet.names_in(HOME))
+    pairs = map(frozenset, combinations(home, 2))
+    fleet.network.broken_pairs.update(pairs)
+    fleet.run(_LONG_MS)
+    assert set(home) <= set(fleet.readers())
+    fleet.wait_until_held(fleet.edit(), _LIMIT_MS)
+
+
+def test_an_edit_spreads_while_nobody_thinks_that_it_reads(fleet):
+    """Views disagree so that each VM takes others for the readers."""
+    fleet.cut_off('jihlava', service=False)
+    fleet.service.treat(DOWN, *list(TODAY)[1:])
+    for vm in fleet.readers():
+        if vm in fleet.names_in(HOME):
+            _cut_from_service(fleet, vm)
+    fleet.run(_LONG_MS)
+    fleet.cut_off()
+    fleet.wait_until_held(fleet.edit(), _CHECK_MS)
+
+
 def test_a_data_centre_cut_from_the_service_hears_from_the_others(fleet):
     _cut_from_service(fleet, *fleet.names_in('jihlava'))
     fleet.run(_LONG_MS)
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -18,6 +18,7 @@
     VmId,
 )
 from dandelionstage.model.messages import Leaving
+from tools.standins.config_history import ServiceMode
 from tools.virtual.documents import list_vms, vms_json
 from tools.virtual.fleet import VirtualFleet
 
@@ -57,6 +58,33 @@
             assert len(member.live(_HOME)) == 5
 
 
+def test_a_slow_network_makes_nobody_suspected(fleet):
+    fleet.network.longest_ms = 150
+    while fleet.network.now_ms < 20_000:
+        fleet.network.run(1000)
+        for member in _members(fleet):
+            assert len(member.live(_HOME)) == 5
+
+
+def test_doubled_and_overtaken_probes_change_no_belief(fleet):
+    fleet.network.longest_ms = 60
+    fleet.network.doubled_fraction = 0.5
+    leaver = fleet.vms[_VM].members
+    leaver.note_leaving(Leaving(_VM, Incarnation(1)))
+    fleet.network.run(8000)
+    assert _states(fleet) == {MemberState.LEAVING}
+
+
+def test_leaving_is_noticed_without_the_published_list(fleet):
+    """The list goes on to name the VM as live, or cannot be read at all."""
+    fleet.service.treat(ServiceMode.DOWN)
+    leaver = fleet.vms[_VM].members
+    leaver.note_leaving(Leaving(_VM, Incarnation(1)))
+    fleet.network.run(2000)
+    for vm in fleet.names_in('jihlava'):
+        assert _VM not in fleet.vms[vm].members.live(_HOME)
+
+
 def test_a_lost_vm_is_suspected_in_its_data_centre_within_two_seconds(fleet):
     fleet.stop([_VM])
     fleet.network.run(2000)
--- a/tools/control_table.py
+++ b/tools/control_table.py
@@ -37,10 +37,7 @@
 def show_table(costs: Sequence[ControlCost]) -> str:
     """Show one line for each size and the slopes per doubling."""
     fields = tuple(asdict(costs[0]))
-    lines = [_show_row(fields)]
-    for cost in costs:
-        figures = asdict(cost).values()
-        lines.append(_show_row(map('{0:.1f}'.format, figures)))
+    lines = [_show_row(fields), *map(_show_cost, costs)]
     if len(costs) > 1:
         slopes = [_fit(costs, field) for field in fields[1:]]
         shown = map('{0:.2f}'.format, slopes)
@@ -48,5 +45,9 @@
     return '\n'.join(lines)
 
 
+def _show_cost(cost: ControlCost) -> str:
+    return _show_row(map('{0:.1f}'.format, asdict(cost).values()))
+
+
 def _show_row(cells: Iterable[str]) -> str:
     return '  '.join('{0:>18}'.format(cell) for cell in cells)
