--- a/src/dandelionstage/operations/counts.py
+++ b/src/dandelionstage/operations/counts.py
@@ -1,6 +1,7 @@
 """What is counted for each customer, for a bounded number of customers."""
 
 from collections import Counter
+from collections.abc import Iterator
 from dataclasses import dataclass, field
 from typing import Final, final
 
@@ -49,6 +50,11 @@
         self.shards_answered += coverage.answered
         self.shards_asked += coverage.total
 
+    def add_work(self, extra_load: int, primaries: int) -> None:
+        """Count what a query cost, also one that was refused at last."""
+        self.extra_load += extra_load
+        self.primaries += primaries
+
     def latency(self, hop: Hop) -> LatencyHistogram:
         """Give the histogram of one hop, empty at first."""
         histogram = self.latencies.get(hop)
@@ -82,3 +88,10 @@
     def items(self) -> tuple[tuple[CustomerId, CustomerCounts], ...]:
         """List customers by name with their counts."""
         return tuple(sorted(self._counts.items()))
+
+    def prepare(self) -> Iterator[None]:
+        """Prepare every summary, one histogram in each step."""
+        for counts in tuple(self._counts.values()):
+            for histogram in tuple(counts.latencies.values()):
+                histogram.prepare()
+                yield
--- a/src/dandelionstage/query/dispatch.py
+++ b/src/dandelionstage/query/dispatch.py
@@ -45,12 +45,13 @@
         progress: ShardProgress,
         target: Target,
         now_ms: float,
+        *,
+        probe: bool = False,
     ) -> SendSubRequest:
         """Send one sub-request; it is a hedge while another is out."""
         hedge = bool(progress.out)
-        attempt = Attempt(
-            self._tools.new_call(), progress.shard, target, now_ms
-        )
+        call = self._tools.new_call()
+        attempt = Attempt(call, progress.shard, target, now_ms, probe)
         self._out[attempt.call] = attempt
         progress.out[attempt.call] = attempt
         progress.attempts += 1
--- a/src/dandelionstage/query/picking.py
+++ b/src/dandelionstage/query/picking.py
@@ -1,25 +1,38 @@
 """Picks the owner for the next attempt at a shard."""
 
 from collections import Counter
-from typing import Final
+from collections.abc import Sequence
 
 from ..routing.targets import Target
 from .messages import Query
-from .shard import Attempt, ShardProgress
+from .patience import find_patience_ms, is_owner_silent
+from .shard import ShardProgress
 from .tools import QueryTools
 
-__all__ = (
-    'find_patience_ms',
-    'is_owner_silent',
-    'pick_hedge',
-    'pick_next',
-    'pick_retry',
-)
+__all__ = ('pick_first', 'pick_hedge', 'pick_next', 'pick_retry')
 
-#: An owner may take this many times longer than most shards, and at least
-#: the least patience, before it counts as silent.
-_PATIENCE_FACTOR: Final = 4
-_LEAST_PATIENCE_MS: Final = 100
+
+def pick_first(
+    query: Query,
+    progress: ShardProgress,
+    tools: QueryTools,
+    now_ms: float,
+) -> tuple[Target, ...]:
+    """Pick the best owner, and at times a slow place to be asked beside it."""
+    ranked = _rank(query, progress, tools)
+    target = _choose(query, ranked, tools, now_ms)
+    if target is None:
+        return ()
+    typical_ms = tools.delays.typical_ms(query.workload)
+    if not tools.times.has_slow(typical_ms):
+        return (target,)
+    for other in ranked:
+        key = other.owner_key
+        if key == target.owner_key or not tools.times.is_slow(key, typical_ms):
+            continue
+        if tools.times.ask_again(key, now_ms):
+            return target, other
+    return (target,)
 
 
 def pick_next(
@@ -29,18 +42,7 @@
     now_ms: float,
 ) -> Target | None:
     """Pick the best owner, one that looks silent only if there is no other."""
-    targets = tools.route(
-        query.workload,
-        progress.shard,
-        progress.replicas,
-        progress.avoid,
-    )
-    patience_ms = find_patience_ms(query, tools)
-    ranked = progress.rank(targets)
-    for target in ranked:
-        if not tools.owners.is_silent(target.vm, now_ms, patience_ms):
-            return target
-    return next(iter(ranked), None)
+    return _choose(query, _rank(query, progress, tools), tools, now_ms)
 
 
 def pick_retry(
@@ -79,12 +81,36 @@
     return pick_next(query, progress, tools, now_ms)
 
 
-def is_owner_silent(attempt: Attempt, tools: QueryTools) -> bool:
-    """Whether the owner said nothing, to any query, since the attempt."""
-    return not tools.owners.heard_since(attempt.target.vm, attempt.sent_ms)
+def _choose(
+    query: Query,
+    ranked: Sequence[Target],
+    tools: QueryTools,
+    now_ms: float,
+) -> Target | None:
+    for target in ranked:
+        silent_ms = tools.owners.silent_ms(target.vm, now_ms)
+        if not silent_ms or silent_ms <= find_patience_ms(query, tools):
+            return target
+    return ranked[0] if ranked else None
 
 
-def find_patience_ms(query: Query, tools: QueryTools) -> float:
-    """Return how long an owner may say nothing before it counts as lost."""
+def _rank(
+    query: Query,
+    progress: ShardProgress,
+    tools: QueryTools,
+) -> Sequence[Target]:
+    """Order the owners, those of slow replicas behind the others."""
+    targets = tools.route(
+        query.workload,
+        progress.shard,
+        progress.replicas,
+        progress.avoid,
+    )
+    ranked = progress.rank(targets)
     typical_ms = tools.delays.typical_ms(query.workload)
-    return max(_LEAST_PATIENCE_MS, typical_ms * _PATIENCE_FACTOR)
+    if not tools.times.has_slow(typical_ms):
+        return ranked
+    return sorted(
+        ranked,
+        key=lambda target: tools.times.is_slow(target.owner_key, typical_ms),
+    )
