Admission and quotas wired into the daemon

Cause: every request was admitted. Conclusion: one service carries the leases of slots and of quotas.

--- a/src/dandelionstage/daemon/caller_interface.py
+++ b/src/dandelionstage/daemon/caller_interface.py
@@ -89,8 +89,8 @@
             forwarder=forwarder,
             minting=self.minting,
             incarnation_of=node.incarnation_of,
-            admit=lambda contract, cost, now_ms: None,
-            release=lambda contract: None,
+            admit=node.admission.admit,
+            release=node.admission.release,
             new_call=new_call,
             metrics=node.metrics,
             clock=monotonic_ms,
@@ -129,8 +129,8 @@
     return QueryService(
         runner=node.runner,
         tools=tools,
-        admit=lambda contract, cost, now_ms: None,
-        release=lambda contract: None,
+        admit=node.admission.admit,
+        release=node.admission.release,
         metrics=node.metrics,
         clock=monotonic_ms,
     )
--- a/src/dandelionstage/daemon/lease_service.py
+++ b/src/dandelionstage/daemon/lease_service.py
@@ -1,10 +1,12 @@
-"""Carries lease requests and grants between the owners of VMs."""
+"""Carries lease requests and grants between VMs."""
 
 from collections.abc import Callable
 from typing import final
 
 from ..inner.link import Link
 from ..inner.messages import InnerMessage
+from ..limits.admission import Admission
+from ..limits.lease_key import LeaseKey, LimitKind
 from ..model.ids import VmId
 from ..model.messages import LeaseGrant, LeaseRequest
 from .dispatch import Dispatch
@@ -15,19 +17,21 @@
 
 @final
 class LeaseService:
-    """Lets an owner borrow slots from peers and lend them its own."""
+    """Lets a VM borrow slots and quotas from peers and lend them its own."""
 
     def __init__(
         self,
         service: OwnerService,
+        admission: Admission,
         clock: Callable[[], float],
         send: Callable[[VmId, InnerMessage], None],
     ) -> None:
-        """Share the slots of one owner.
+        """Share the slots of one owner and the quotas of one entry.
 
         :param send: queues a message to another VM.
         """
         self._service = service
+        self._admission = admission
         self._clock = clock
         self._send = send
 
@@ -37,20 +41,35 @@
         dispatch.register(LeaseGrant, self._take)
 
     def ask(self) -> None:
-        """Send what the owner needs to ask for now."""
-        for vm, request in self._service.owner.requests(self._clock()):
+        """Send what this VM needs to ask for now."""
+        now_ms = self._clock()
+        self._admission.tick(now_ms)
+        for vm, request in self._service.owner.requests(now_ms):
             self._send(vm, request)
+        for steward, wish in self._admission.steward.requests(now_ms):
+            self._send(steward, wish)
 
     def _answer(self, link: Link, request: LeaseRequest) -> None:
-        if link.peer is not None:
-            owner = self._service.owner
-            link.post(
-                owner.receive_request(link.peer, request, self._clock()),
-            )
+        if link.peer is None:
+            return
+        lender = self._service.owner.receive_request
+        if _is_quota(request.key):
+            lender = self._admission.steward.receive_request
+        link.post(lender(link.peer, request, self._clock()))
 
     def _take(self, link: Link, grant: LeaseGrant) -> None:
-        if link.peer is not None:
-            owner = self._service.owner
-            self._service.carry_out(
-                owner.receive_grant(link.peer, grant, self._clock()),
-            )
+        if link.peer is None:
+            return
+        now_ms = self._clock()
+        if _is_quota(grant.key):
+            self._admission.steward.receive_grant(link.peer, grant, now_ms)
+            return
+        owner = self._service.owner
+        self._service.carry_out(
+            owner.receive_grant(link.peer, grant, now_ms),
+        )
+
+
+def _is_quota(key: str) -> bool:
+    decoded = LeaseKey.decode(key)
+    return decoded is not None and decoded.kind is LimitKind.QUOTA
--- a/src/dandelionstage/daemon/node.py
+++ b/src/dandelionstage/daemon/node.py
@@ -19,6 +19,7 @@
 from ..operations.metrics import Metrics
 from ..owner.owner import Owner
 from ..settings.model import Settings
+from .admitting import make_admission
 from .backend_pools import BackendPools
 from .clock import monotonic_ms
 from .courier import make_courier
@@ -43,6 +44,7 @@
     :ivar facts: what it knows of the fleet.
     :ivar dispatch: takes further handlers of inner messages.
     :ivar peers: its links; a context manager, entered by the daemon.
+    :ivar admission: admits callers' requests by their contracts.
     :ivar accepts_new: false once a planned stop takes no new queue entries.
     """
 
@@ -59,7 +61,17 @@
         self.facts = self._know(settings)
         self.peers = PeerLinks(self._link_table(), self.facts.address_of)
         self.owner = self._own(group)
-        self._leases = LeaseService(self.owner, monotonic_ms, self.peers.send)
+        self.admission = make_admission(
+            self.greeting,
+            self.facts,
+            self.random,
+        )
+        self._leases = LeaseService(
+            self.owner,
+            self.admission,
+            monotonic_ms,
+            self.peers.send,
+        )
         self._leases.register(self.dispatch)
         self.owner.after_event = self._leases.ask
         self.runner = self._run()
