Keep a slow server's time in mind for longer

Cause: a server ten times slow was tried again once a second, as half of its estimate was forgotten in that time. Conclusion: 3 s; at 10 s a recovered server would wait half a minute for its work.

--- a/src/dandelionstage/routing/service_time.py
+++ b/src/dandelionstage/routing/service_time.py
@@ -8,7 +8,7 @@
 #: Weight of the newest observation.
 _WEIGHT: Final = 0.2
 #: Time without observations after which half of the estimate is forgotten.
-_HALF_LIFE_MS: Final = 1000.0
+_HALF_LIFE_MS: Final = 3000.0
 #: Expected of a server that was never observed.
 _UNKNOWN_MS: Final = 1.0
 
