--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 BIN := $(VENV)/bin
 PY := PYTHONPATH=src:. $(BIN)/python
 
-.PHONY: demo test bench matrix run format lock
+.PHONY: demo test bench matrix guards run format lock
 
 $(VENV)/ready: requirements.txt
 	python3 -m venv $(VENV)
@@ -26,6 +26,9 @@
 matrix: $(VENV)/ready
 	$(PY) -m tools.matrix
 
+guards: $(VENV)/ready
+	$(PY) -m tools.matrix --guards
+
 run: $(VENV)/ready
 	$(BIN)/dandelionstaged --settings examples/vm.yaml
 
