--- a/tests/action_fakes.py
+++ b/tests/action_fakes.py
@@ -59,12 +59,12 @@
     return tuple(Target(vm, key, left) for vm in ('vm-8', 'vm-9') if left)
 
 
-def execution(started, deadline_ms=500):
+def execution(started, deadline_ms=500, route=targets):
     """Make the execution of a started action."""
     numbers = count()
     return ActionExecution(
         started,
-        ActionPlan(PIN, Priority.INTERACTIVE, targets, deadline_ms),
+        ActionPlan(PIN, Priority.INTERACTIVE, route, deadline_ms),
         lambda: 'x-{0}-{1}'.format(started.call.call, next(numbers)),
     )
 
--- a/tests/test_action_service.py
+++ b/tests/test_action_service.py
@@ -32,7 +32,7 @@
             self.forwarder.take_outcome(outcome)
 
 
-async def act(links):
+async def act(links, deadline_ms=None):
     """Send one action with a ticket of another VM."""
     numbers = iter(range(100))
     service = ActionService(
@@ -54,7 +54,7 @@
         body=SimpleNamespace(
             ticket=table().mint('vysocina', 0).unwrap(),
             idempotency_key=None,
-            deadline_ms=None,
+            deadline_ms=deadline_ms,
             action={'blank': 1},
         ),
     )
@@ -74,3 +74,11 @@
     outcome = await act(LossyLinks(losses=9))
     assert outcome.verdict.reason is Reason.PEER_UNREACHABLE
     assert outcome.verdict.run is Run.MAY_HAVE_RUN
+
+
+async def test_silent_minter_leaves_doubt():
+    links = LossyLinks(losses=0)
+    links.forwarder = Forwarder('vm-2', None, lambda *_: None)
+    outcome = await act(links, deadline_ms=1)
+    assert outcome.verdict.reason is Reason.DEADLINE_EXPIRED
+    assert outcome.verdict.run is Run.MAY_HAVE_RUN
--- a/tests/test_actions.py
+++ b/tests/test_actions.py
@@ -179,6 +179,13 @@
     assert done.outcome.verdict.run is Run.MAY_HAVE_RUN
 
 
+def test_without_any_owner_nothing_runs():
+    _tickets, _ticket, begun = started()
+    running = execution(begun, route=lambda _avoid: ())
+    done = only(running.start(0))
+    assert done.outcome.verdict == not_run(Reason.NO_REPLICA)
+
+
 def test_unreachable_owner_is_passed_by():
     _tickets, _ticket, begun = started()
     running = execution(begun)
--- a/tests/test_backend_pool.py
+++ b/tests/test_backend_pool.py
@@ -1,6 +1,7 @@
 """BackendPool against the stand-in backend server, over real sockets."""
 
-from contextlib import asynccontextmanager
+import socket
+from contextlib import ExitStack, asynccontextmanager, contextmanager
 from dataclasses import replace
 
 import anyio
@@ -129,6 +130,8 @@
             Reason.BACKEND_ERROR,
             Run.MAY_HAVE_RUN,
         ),
+        (Faults(refuse='overloaded'), Reason.BACKEND_OVERLOADED, Run.NOT_RUN),
+        (Faults(refuse='shard_moved'), Reason.SHARD_MOVED, Run.NOT_RUN),
         (Faults(gone_snapshots=('n-1',)), Reason.SNAPSHOT_GONE, Run.NOT_RUN),
         (
             Faults(reply_fault=ReplyFault.LOST),
@@ -161,6 +164,21 @@
             Run.MAY_HAVE_RUN,
         ),
     ],
+    ids=[
+        'draining',
+        'cold',
+        'error',
+        'error in doubt',
+        'overloaded',
+        'shard moved',
+        'snapshot gone',
+        'lost',
+        'cut',
+        'malformed',
+        'wrong call',
+        'withheld',
+        'silent',
+    ],
 )
 async def test_each_fault_gives_its_verdict(faults, reason, verdict_run):
     async with pool_and_server() as (pool, server):
@@ -174,6 +192,60 @@
         assert outcome.verdict.reason is Reason.OK
 
 
+@pytest.mark.parametrize(
+    ('fault', 'shard', 'snapshot'),
+    [
+        (ReplyFault.WRONG_SNAPSHOT, 's-1', 'wrong'),
+        (ReplyFault.WRONG_SHARD, 'wrong', 'n-1'),
+    ],
+)
+async def test_part_says_what_the_server_said(fault, shard, snapshot):
+    async with pool_and_server() as (pool, server):
+        server.listener.obey(Faults(reply_fault=fault))
+        outcome = await pool.attempt(SEARCH, now_ms() + 5000)
+        assert outcome.part.shard == shard
+        assert outcome.part.pin == Pin(snapshot, SEARCH.pin.shard_map_revision)
+
+
+@contextmanager
+def full_backlog():
+    """Listen on a port that takes no further connection."""
+    with ExitStack() as sockets:
+        listening = sockets.enter_context(socket.socket())
+        listening.bind(('127.0.0.1', 0))
+        listening.listen(0)
+        port = listening.getsockname()[1]
+        for _ in range(3):
+            client = sockets.enter_context(socket.socket())
+            client.setblocking(False)
+            client.connect_ex(('127.0.0.1', port))
+        yield port
+
+
+@pytest.mark.parametrize(('connect_ms', 'time_ms'), [(50, 9000), (9000, 50)])
+async def test_connecting_is_bounded(connect_ms, time_ms):
+    limits = ConnectionLimits(connect_ms=connect_ms)
+    with full_backlog() as port:
+        async with pool_and_server(port=port, limits=limits) as (pool, _):
+            outcome = await pool.attempt(SEARCH, now_ms() + time_ms)
+            assert outcome.verdict.reason is Reason.CONNECT_FAILED
+            assert outcome.verdict.run is Run.NOT_RUN
+            assert outcome.hop_ms < 2000
+
+
+async def test_connection_over_the_servers_limit_brings_nothing():
+    async with pool_and_server(max_connections=1) as (pool, server):
+        async with anyio.create_task_group() as tasks:
+            outcomes = []
+            for _ in range(2):
+                tasks.start_soon(keep_outcome, pool, outcomes)
+        assert sorted(one.verdict.reason.value for one in outcomes) == [
+            'connection_lost',
+            'ok',
+        ]
+        assert server.state.witness.runs == 1
+
+
 async def test_nothing_listens():
     async with pool_and_server(port=1) as (pool, _server):
         outcome = await pool.attempt(SEARCH, now_ms() + 500)
