A cancel no longer closes idle connections

Cause: cancelling a call set the pool's allowance for that server to one, so each cancelled hedge closed the idle connections, and the next attempts had to open them again.

Change: a cancel uses the pool as it is, and does nothing at a server that was never used.

Proof: the new test fails with the former code.

--- a/src/dandelionstage/daemon/backend_pools.py
+++ b/src/dandelionstage/daemon/backend_pools.py
@@ -49,8 +49,9 @@
         return await pool.attempt(start.sub_request, start.deadline_ms)
 
     async def cancel(self, backend: BackendId, call: CallId) -> None:
-        """Ask a backend server to stop a call."""
-        pool = await self._pool(backend, 1)
+        """Ask a backend server to stop a call that was sent to it."""
+        placed = self._topology().backends.get(backend)
+        pool = self._pools.get(placed.server) if placed else None
         if pool is not None:
             await pool.cancel(call)
 
