Events are counted where they happen, and faults leave a line in the log

Most events stayed at zero whatever happened: nothing counted them, and the operators' page explained them all the same. Those that some part counts of itself (documents, reads, links, late replies) are now read from it when the metrics are rendered; the six that nothing counts are gone. The log was silent about refused documents, refused requests and failed attempts; each is now written at a bounded rate, an attempt at the owner with the request id that the entry gave, so that one id finds a request on every VM it passed.

Ruled out: counting at each place through the metrics (a second count of the same thing, and decision packages that would know of metrics).

--- a/src/dandelionstage/daemon/control.py
+++ b/src/dandelionstage/daemon/control.py
@@ -16,6 +16,8 @@
     PullReceived,
 )
 from .configuration_task import ConfigurationTask
+from .event_sources import watch_events
+from .journal import Journal
 from .membership_task import MembershipTask
 from .node import Node
 from .peer_view import view_peers
@@ -58,6 +60,8 @@
             node.peers.send,
             lambda topology: facts.refresh(),
         )
+        watch_events(node, spread.counts)
+        self._journal = Journal(facts.store)
         self._client = client
         self._members = facts.members
         self._membership = MembershipTask(
@@ -71,9 +75,10 @@
         node.dispatch.register(Leaving, self._take_leaving)
 
     def start(self, group: TaskGroup) -> None:
-        """Run both tasks until the group is cancelled."""
+        """Run the tasks until the group is cancelled."""
         group.start_soon(self.configuration.run, self._client)
         group.start_soon(self._membership.run)
+        group.start_soon(self._journal.run)
 
     def _hear_digest(self, vm: VmId, digest: Digest) -> None:
         self.configuration.post(DigestHeard(vm, digest))
--- a/src/dandelionstage/daemon/node.py
+++ b/src/dandelionstage/daemon/node.py
@@ -42,6 +42,7 @@
     :ivar greeting: who this process is.
     :ivar facts: what it knows of the fleet.
     :ivar dispatch: takes further handlers of inner messages.
+    :ivar links: open links, and how those before them ended.
     :ivar peers: its links; a context manager, entered by the daemon.
     :ivar accepts_new: false once a planned stop takes no new queue entries.
     """
@@ -57,7 +58,8 @@
         self.accepts_new: Callable[[], bool] = lambda: True
         self.dispatch = Dispatch()
         self.facts = self._know(settings)
-        self.peers = PeerLinks(self._link_table(), self.facts.address_of)
+        self.links = self._link_table()
+        self.peers = PeerLinks(self.links, self.facts.address_of)
         self.owner = self._own(group)
         self._leases = LeaseService(self.owner, monotonic_ms, self.peers.send)
         self._leases.register(self.dispatch)
--- a/src/dandelionstage/daemon/owner_service.py
+++ b/src/dandelionstage/daemon/owner_service.py
@@ -14,6 +14,8 @@
     SendReply,
     StartAttempt,
 )
+from ..model.verdict import Reason
+from ..operations.logs import FaultLog
 from ..owner.owner import Owner
 from .backend_pools import BackendPools
 
@@ -23,6 +25,9 @@
 _BUSY_TICK_S: Final = 0.01
 _IDLE_TICK_S: Final = 0.1
 
+#: How an attempt may end without a fault of the backend server.
+_EXPECTED: Final = frozenset((Reason.OK, Reason.CANCELLED))
+
 #: Takes the reply to a sub-request back to where it came from.
 ReplyTo = Callable[[SubReply], None]
 
@@ -50,6 +55,7 @@
         self._group = group
         self._clock = clock
         self._reply_to: dict[CallId, ReplyTo] = {}
+        self._faults = FaultLog()
         self.after_event: Callable[[], None] = lambda: None
 
     def take(self, sub_request: SubRequest, reply_to: ReplyTo) -> None:
@@ -91,4 +97,17 @@
     async def _attempt(self, start: StartAttempt) -> None:
         allowance = self.owner.connection_allowance(start.backend)
         outcome = await self._pools.attempt(start, allowance)
+        _note_fault(self._faults, start, outcome.verdict.reason)
         self.carry_out(self.owner.finish(outcome, self._clock()))
+
+
+def _note_fault(faults: FaultLog, start: StartAttempt, reason: Reason) -> None:
+    if reason in _EXPECTED:
+        return
+    faults.warn_repeating(
+        '{0} {1}'.format(reason.value, start.backend),
+        'attempt failed',
+        request_id=start.sub_request.request,
+        backend=start.backend,
+        reason=reason.value,
+    )
--- a/src/dandelionstage/entry/app.py
+++ b/src/dandelionstage/entry/app.py
@@ -1,7 +1,7 @@
 """The ASGI application for callers."""
 
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Final, TypeVar, final
 
 from loguru import logger
@@ -14,7 +14,7 @@
 from ..model.ids import CustomerId, RequestId
 from ..model.topology import WorkloadKind
 from ..model.verdict import Reason, Run, Verdict
-from ..operations.logs import request_context
+from ..operations.logs import FaultLog, request_context
 from ..operations.metrics import Metrics
 from .action_service import ActionService
 from .arrivals import Arrival, Gatekeeper
@@ -42,6 +42,7 @@
     """Answers callers; whatever goes wrong, the reply is typed.
 
     :ivar wall_s: seconds since 1970, to state a snapshot's age.
+    :ivar faults: logs refusals at a bounded rate.
     """
 
     gatekeeper: Gatekeeper
@@ -49,6 +50,7 @@
     actions: ActionService
     metrics: Metrics
     wall_s: Callable[[], float]
+    faults: FaultLog = field(default_factory=FaultLog)
 
     async def query(self, request: Request) -> Response:
         """Serve ``POST /v1/query``."""
@@ -90,7 +92,7 @@
     ) -> Response:
         if isinstance(arrival, Failure):
             verdict = arrival.failure()
-            self.metrics.count_refusal(verdict.reason, _NOBODY)
+            _note_refusal(self, verdict, _NOBODY)
             return refusal_response(RequestId(''), verdict)
         admitted = arrival.unwrap()
         with request_context(admitted.request):
@@ -100,24 +102,21 @@
         answer = await self.queries.answer(arrival)
         if answer.verdict.reason is Reason.OK:
             return answer_response(arrival.request, answer, self.wall_s())
-        customer = arrival.contract.customer
-        self.metrics.count_refusal(answer.verdict.reason, customer)
+        _note_refusal(self, answer.verdict, arrival.contract.customer)
         return refusal_response(arrival.request, answer.verdict)
 
     async def _mint(self, arrival: Arrival[TicketBody]) -> Response:
         minted = self.actions.mint(arrival)
         if isinstance(minted, Failure):
             verdict = minted.failure()
-            customer = arrival.contract.customer
-            self.metrics.count_refusal(verdict.reason, customer)
+            _note_refusal(self, verdict, arrival.contract.customer)
             return refusal_response(arrival.request, verdict)
         return ticket_response(minted.unwrap(), self.actions.lifetime_ms)
 
     async def _act(self, arrival: Arrival[ActionBody]) -> Response:
         ticket, outcome = await self.actions.act(arrival)
         if outcome.verdict.reason is not Reason.OK:
-            customer = arrival.contract.customer
-            self.metrics.count_refusal(outcome.verdict.reason, customer)
+            _note_refusal(self, outcome.verdict, arrival.contract.customer)
         return outcome_response(arrival.request, ticket, outcome)
 
 
@@ -143,3 +142,18 @@
         logger.exception('request failed')
         verdict = Verdict(Run.MAY_HAVE_RUN, Reason.INTERNAL_ERROR)
         return refusal_response(arrival.request, verdict)
+
+
+def _note_refusal(
+    api: CallerApi,
+    verdict: Verdict,
+    customer: CustomerId,
+) -> None:
+    api.metrics.count_refusal(verdict.reason, customer)
+    api.faults.warn_repeating(
+        '{0} {1}'.format(verdict.reason.value, customer),
+        'request refused',
+        customer=customer,
+        reason=verdict.reason.value,
+        run=verdict.run.value,
+    )
--- a/src/dandelionstage/operations/collector.py
+++ b/src/dandelionstage/operations/collector.py
@@ -50,6 +50,7 @@
     refusals: Counter[Reason]
     retries: Counter[Reason]
     events: Counter[Event]
+    event_sources: Mapping[Event, Callable[[], int]]
     customers: CustomerTable
     gauges: Sequence[Gauge]
 
@@ -57,7 +58,7 @@
         """Yield every family, with each reason and event, also at zero."""
         yield _by_label('refusals', 'reason', self.refusals)
         yield _by_label('retries', 'reason', self.retries)
-        yield _by_label('events', 'event', self.events)
+        yield _by_label('events', 'event', self._all_events())
         yield from _customer_counters(self.customers)
         yield _customer_refusals(self.customers)
         yield latency_family(self.customers)
@@ -65,6 +66,12 @@
             name = PREFIX.format(gauge.name)
             yield GaugeMetricFamily(name, gauge.description, gauge.read())
 
+    def _all_events(self) -> Mapping[Event, int]:
+        events = self.events.copy()
+        for event, read in self.event_sources.items():
+            events[event] += read()
+        return events
+
 
 def _by_label(
     name: str,
--- a/src/dandelionstage/operations/labels.py
+++ b/src/dandelionstage/operations/labels.py
@@ -27,12 +27,6 @@
 
     #: A reply to a call that is unknown, over or already answered.
     LATE_REPLY = 'late_reply'
-    #: A part that did not echo the pinned snapshot and shard map.
-    MISMATCHED_PART = 'mismatched_part'
-    #: A record found on two shards, kept once.
-    DUPLICATE_RECORD = 'duplicate_record'
-    #: A query that started again on another snapshot.
-    QUERY_RESTARTED = 'query_restarted'
     DOCUMENT_ACCEPTED = 'document_accepted'
     #: A published document that was refused; the last good one stays.
     DOCUMENT_INVALID = 'document_invalid'
@@ -41,12 +35,8 @@
     #: A read of the configuration service.
     CONFIG_READ = 'config_read'
     CONFIG_READ_FAILED = 'config_read_failed'
-    #: The process noticed that it had not run for a while.
-    PROCESS_PAUSE = 'process_pause'
-    #: A connection that went silent and was replaced.
+    #: A silent connection between daemons that was given up.
     CONNECTION_REPLACED = 'connection_replaced'
-    #: A frame or datagram that could not be decoded.
+    #: A connection that a frame which could not be decoded has ended.
     BAD_FRAME = 'bad_frame'
-    PEER_SUSPECTED = 'peer_suspected'
     TICKET_MINTED = 'ticket_minted'
-    ACTION_REPEATED = 'action_repeated'
--- a/src/dandelionstage/operations/metrics.py
+++ b/src/dandelionstage/operations/metrics.py
@@ -1,6 +1,7 @@
 """Everything a daemon counts and measures about itself."""
 
 from collections import Counter
+from collections.abc import Callable
 from typing import Final, final
 
 from prometheus_client import (
@@ -28,6 +29,7 @@
     :ivar refusals: by reason, each present at zero from the start.
     :ivar retries: hedges and retries by what caused them, likewise.
     :ivar events: everything else that is counted, likewise.
+    :ivar event_sources: counts kept elsewhere, added when rendering.
     :ivar customers: counts and latencies by customer.
     :ivar gauges: read whenever the metrics are rendered; add to it.
     """
@@ -40,6 +42,7 @@
         self.refusals = Counter(dict.fromkeys(Reason, 0))
         self.retries = Counter(dict.fromkeys(Reason, 0))
         self.events = Counter(dict.fromkeys(Event, 0))
+        self.event_sources: dict[Event, Callable[[], int]] = {}
         self.customers = CustomerTable(max_customers)
         self.gauges: list[Gauge] = []
         self._registry = CollectorRegistry(auto_describe=False)
@@ -49,6 +52,7 @@
                 refusals=self.refusals,
                 retries=self.retries,
                 events=self.events,
+                event_sources=self.event_sources,
                 customers=self.customers,
                 gauges=self.gauges,
             ),
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -129,3 +129,13 @@
     metrics.gauges.append(Gauge('pending', 'Waiting.', pending.pop))
     assert samples(metrics)['dandelionstage_pending',] == 2
     assert samples(metrics)['dandelionstage_pending',] == 1
+
+
+def test_events_counted_elsewhere_are_added():
+    metrics = Metrics()
+    metrics.count_event(Event.LATE_REPLY)
+    metrics.event_sources[Event.LATE_REPLY] = lambda: 4
+    for _ in range(2):
+        assert (
+            samples(metrics)['dandelionstage_events_total', 'late_reply'] == 5
+        )
--- a/tests/test_operator_port.py
+++ b/tests/test_operator_port.py
@@ -2,6 +2,7 @@
 
 import json
 from collections.abc import Iterator
+from functools import partial
 
 import httpx
 import pytest
@@ -9,8 +10,9 @@
 
 from dandelionstage.cli.main import app
 from dandelionstage.model.verdict import Reason
-from tools.fleet import Fleet, bg_south
+from tools.fleet import Fleet, bg_south, kill
 from tools.fleet.clients import base_url
+from tools.fleet.processes import wait_until
 
 pytestmark = pytest.mark.process
 
@@ -76,6 +78,26 @@
     assert all(len(shown['live_vms']['plovdiv-a']) == 2 for shown in daemons)
 
 
+def logged(fleet: Fleet, message: str) -> list[dict[str, str]]:
+    return [
+        line
+        for vm in fleet.vms
+        for line in map(json.loads, fleet.members[vm].log.open())
+        if line['message'] == message
+    ]
+
+
+def test_an_invalid_document_is_counted_and_logged(fleet):
+    fleet.config.publish_raw('contract/vets', b'{"customer": 7}')
+    refused = partial(logged, fleet, 'document refused')
+    member = fleet.members[fleet.layout.vms[0].vm]
+    wait_until(lambda: len(refused()) == 2, member, 5)
+    shown = httpx.get('{0}/metrics'.format(operator_port(fleet, 0))).text
+    assert '_events_total{event="document_invalid"} 0.0' not in shown
+    key = fleet.scenario.key_of('vets')
+    assert run(fleet, key, 'query', 'finder-desk', '1').exit_code == 0
+
+
 def test_no_key_in_logs_status_or_metrics(fleet):
     keys = [customer.key for customer in fleet.scenario.customers]
     run(fleet, WRONG_KEY, 'query', 'finder-desk', '1')
@@ -93,3 +115,12 @@
     for vm in fleet.vms:
         lines = fleet.members[vm].log.read_text().splitlines()
         assert {json.loads(line)['vm'] for line in lines} == {vm}
+
+
+def test_a_failed_attempt_is_logged_with_its_request(fleet):
+    kill(fleet.members['backends-finder-desk-plovdiv-a'])
+    key = fleet.scenario.key_of('vets')
+    outcome = run(fleet, key, 'query', 'finder-desk', '1')
+    shown = json.loads(outcome.output)
+    requests = {line['request_id'] for line in logged(fleet, 'attempt failed')}
+    assert requests == {shown['request_id']}
