Measure every hop of a query

The entry now measures each attempt there and back, the owner the time in its queue and at the backend server.

--- a/src/dandelionstage/daemon/node.py
+++ b/src/dandelionstage/daemon/node.py
@@ -116,6 +116,7 @@
         owner = Owner(greeting.vm, greeting.data_centre, self.random)
         pools = BackendPools(group, self.facts.topology)
         service = OwnerService(owner, pools, group, monotonic_ms)
+        service.observe = self.metrics.observe
         self.facts.follow(
             lambda topology: service.carry_out(
                 owner.use_topology(topology, monotonic_ms()),
@@ -130,7 +131,9 @@
             self.owner,
             lambda reply: self.runner.take_reply(reply),
         )
-        return ExecutionRunner(courier, monotonic_ms)
+        runner = ExecutionRunner(courier, monotonic_ms)
+        runner.observe = self.metrics.observe
+        return runner
 
     def _end(self, link: Link, end: LinkEnd) -> None:
         self._inbound.drop(link)
--- a/src/dandelionstage/daemon/owner_service.py
+++ b/src/dandelionstage/daemon/owner_service.py
@@ -6,7 +6,7 @@
 import anyio
 from anyio.abc import TaskGroup
 
-from ..model.ids import CallId
+from ..model.ids import CallId, CustomerId
 from ..model.messages import SubReply, SubRequest
 from ..owner.messages import (
     CancelAttempt,
@@ -15,6 +15,7 @@
     StartAttempt,
 )
 from ..model.verdict import Reason
+from ..operations.labels import Hop, Observe, ignore
 from ..operations.logs import FaultLog
 from ..owner.owner import Owner
 from .backend_pools import BackendPools
@@ -37,6 +38,7 @@
     """Runs one owner over the pools of its backend servers.
 
     :ivar after_event: called once the owner's decisions are carried out.
+    :ivar observe: takes the times in the queue and at backend servers.
     """
 
     def __init__(
@@ -54,13 +56,14 @@
         self._pools = pools
         self._group = group
         self._clock = clock
-        self._reply_to: dict[CallId, ReplyTo] = {}
+        self._reply_to: dict[CallId, tuple[CustomerId, ReplyTo]] = {}
         self._faults = FaultLog()
         self.after_event: Callable[[], None] = lambda: None
+        self.observe: Observe = ignore
 
     def take(self, sub_request: SubRequest, reply_to: ReplyTo) -> None:
         """Take in a sub-request; its one reply goes back the same way."""
-        self._reply_to[sub_request.call] = reply_to
+        self._reply_to[sub_request.call] = (sub_request.customer, reply_to)
         self.carry_out(self.owner.offer(sub_request, self._clock()))
 
     def cancel(self, call: CallId) -> None:
@@ -90,13 +93,17 @@
         self.after_event()
 
     def _reply(self, reply: SubReply) -> None:
-        reply_to = self._reply_to.pop(reply.call, None)
-        if reply_to is not None:
+        waiting = self._reply_to.pop(reply.call, None)
+        if waiting is not None:
+            customer, reply_to = waiting
+            self.observe(Hop.QUEUE, customer, reply.queue_ms)
             reply_to(reply)
 
     async def _attempt(self, start: StartAttempt) -> None:
         allowance = self.owner.connection_allowance(start.backend)
         outcome = await self._pools.attempt(start, allowance)
+        customer = start.sub_request.customer
+        self.observe(Hop.BACKEND, customer, outcome.hop_ms)
         _note_fault(self._faults, start, outcome.verdict.reason)
         self.carry_out(self.owner.finish(outcome, self._clock()))
 
--- a/src/dandelionstage/entry/runner.py
+++ b/src/dandelionstage/entry/runner.py
@@ -8,9 +8,10 @@
 import anyio
 
 from ..actions.messages import SendAction
-from ..model.ids import CallId, VmId
+from ..model.ids import CallId, CustomerId, VmId
 from ..model.messages import SubReply, SubRequest
 from ..model.verdict import Reason, Run, Verdict
+from ..operations.labels import Hop, Observe, ignore
 from ..query.messages import CancelSubRequest, SendSubRequest
 
 __all__ = ('Courier', 'Execution', 'ExecutionRunner')
@@ -64,11 +65,13 @@
 
     :ivar dropped: replies to no call that is waited for.
     :ivar clock: reads the monotonic clock in milliseconds.
+    :ivar observe: takes the time that each attempt took, there and back.
     """
 
     def __init__(self, courier: Courier, clock: Callable[[], float]) -> None:
         """Run nothing yet."""
         self.dropped = 0
+        self.observe: Observe = ignore
         self._courier = courier
         self.clock = clock
         self._waiting: dict[CallId, _Running[Any]] = {}
@@ -96,8 +99,12 @@
         if running is None:
             self.dropped += 1
             return
-        commands = running.execution.receive(reply, self.clock())
-        self._apply(running, commands)
+        now_ms = self.clock()
+        sent = running.sent.pop(reply.call, None)
+        if sent is not None:
+            customer, sent_ms = sent
+            self.observe(Hop.SUB_REQUEST, customer, now_ms - sent_ms)
+        self._apply(running, running.execution.receive(reply, now_ms))
         running.changed.set()
 
     def take_lost(self, vm: VmId, request: SubRequest, *, sent: bool) -> None:
@@ -126,7 +133,9 @@
         for command in commands:
             if isinstance(command, SendSubRequest | SendAction):
                 call = command.sub_request.call
+                customer = command.sub_request.customer
                 running.calls.append(call)
+                running.sent[call] = (customer, self.clock())
                 self._waiting[call] = running
                 self._courier.send(command.vm, command.sub_request)
             elif isinstance(command, CancelSubRequest):
@@ -156,6 +165,7 @@
         self.execution = execution
         self.on_late = on_late
         self.calls: list[CallId] = []
+        self.sent: dict[CallId, tuple[CustomerId, float]] = {}
         self.finish: _Finish | None = None
         self.changed = anyio.Event()
 
--- a/src/dandelionstage/operations/labels.py
+++ b/src/dandelionstage/operations/labels.py
@@ -1,8 +1,11 @@
 """The names under which measurements are kept."""
 
+from collections.abc import Callable
 from enum import Enum, unique
 
-__all__ = ('Event', 'Hop')
+from ..model.ids import CustomerId
+
+__all__ = ('Event', 'Hop', 'Observe', 'ignore')
 
 
 @unique
@@ -40,3 +43,11 @@
     #: A connection that a frame which could not be decoded has ended.
     BAD_FRAME = 'bad_frame'
     TICKET_MINTED = 'ticket_minted'
+
+
+#: Takes how long a request of a customer took on a hop, in milliseconds.
+Observe = Callable[[Hop, CustomerId, float], None]
+
+
+def ignore(hop: Hop, customer: CustomerId, elapsed_ms: float) -> None:
+    """Take a latency that nobody asks for."""
--- a/tests/test_operator_port.py
+++ b/tests/test_operator_port.py
@@ -64,6 +64,18 @@
     assert counted[1] == counted[0] + 1
 
 
+def test_every_hop_of_a_query_is_measured(fleet):
+    key = fleet.scenario.key_of('vets')
+    assert run(fleet, key, 'query', 'finder-desk', '1').exit_code == 0
+    shown = [
+        httpx.get('{0}/metrics'.format(operator_port(fleet, number))).text
+        for number in (0, 1)
+    ]
+    for hop in ('query', 'sub_request', 'queue', 'backend'):
+        count = 'latency_ms_count{{customer="vets",hop="{0}"}}'.format(hop)
+        assert any(count in text for text in shown), hop
+
+
 def test_a_refusal_is_counted_by_its_reason(fleet):
     refused = run(fleet, WRONG_KEY, 'query', 'finder-desk', '1')
     assert refused.exit_code == 3
