A daemon woken late starts none of what lay unread meanwhile

Cause: calls carry the time left, counted from their receipt. A daemon frozen for longer than a call's deadline read the call when woken and started it in full, though the entry had long told its caller that it may have run.

Change: right after a pause the time left of every call from a peer is cut by the whole length of the pause. The detector of pauses was there, but nothing used it.

Ruled out: deadlines by the time of day, which would need clocks that agree.

--- a/src/dandelionstage/daemon/daemon.py
+++ b/src/dandelionstage/daemon/daemon.py
@@ -66,6 +66,7 @@
         """Run everything but the HTTP ports."""
         group.start_soon(self._stop.run)
         group.start_soon(self._node.owner.run)
+        group.start_soon(self._node.aging.run)
         group.start_soon(
             listen_inner,
             self._node.peers.accept,
--- a/src/dandelionstage/daemon/node.py
+++ b/src/dandelionstage/daemon/node.py
@@ -20,6 +20,7 @@
 from ..owner.owner import Owner
 from ..settings.model import Settings
 from .admitting import make_admission
+from .aging import Aging
 from .backend_pools import BackendPools
 from .clock import monotonic_ms
 from .courier import make_courier
@@ -59,6 +60,7 @@
         self.random = SystemRandom()
         self.accepts_new: Callable[[], bool] = lambda: True
         self.dispatch = Dispatch()
+        self.aging = Aging(self.dispatch.take, monotonic_ms)
         self.facts = self._know(settings)
         self.links = self._link_table()
         self.peers = PeerLinks(self.links, self.facts.address_of)
@@ -117,7 +119,7 @@
 
     def _link_table(self) -> LinkTable:
         handlers = LinkHandlers(
-            self.dispatch.take,
+            self.aging.take,
             self.dispatch.lose,
             self._end,
         )
--- a/tests/test_lifecycle.py
+++ b/tests/test_lifecycle.py
@@ -86,6 +86,21 @@
             assert stop.overran == (left > 0)
 
 
+def test_what_is_read_right_after_a_pause_may_be_as_old_as_it():
+    pause = PauseDetector(limit_ms=250)
+    assert pause.unread_ms(0) == 0
+    pause.beat(0)
+    assert pause.unread_ms(200) == 0
+    # Read before the first beat after the pause, and soon after that.
+    assert pause.unread_ms(5000) == 5000
+    pause.beat(5001)
+    assert pause.unread_ms(5200) == 5001
+    pause.beat(5100)
+    assert pause.unread_ms(5250) == 5001
+    pause.beat(5251)
+    assert pause.unread_ms(5251) == 0
+
+
 def test_pause_is_the_whole_gap():
     pause = PauseDetector(limit_ms=250)
     assert pause.beat(1000) == 0
