Fleets on one machine take their ports from blocks of their own

Cause: a port was free when picked and taken by another fleet before its process bound it (Address already in use, seen once in a run of all tests beside other runs). Ruled out: ephemeral ports of outgoing connections, which lie above the range. Conclusion: a held guard port keeps other fleets out of the block; the command line follows the new signature of build_topology.

--- a/src/dandelionstage/cli/documents.py
+++ b/src/dandelionstage/cli/documents.py
@@ -12,10 +12,10 @@
 from returns.pipeline import is_successful
 from returns.result import Failure, Result
 
-from ..model.contract import Contract
-from ..configuration.topology import Topology
+from ..configuration.topology import EMPTY_TOPOLOGY, Topology
 from ..configuration.topology_builder import build_topology
 from ..model import documents as published
+from ..model.contract import Contract
 from ..model.ids import DocumentKey, Revision
 from ..settings.yaml_loader import UniqueKeyLoader
 
@@ -54,7 +54,11 @@
     ]
     faults = [outcome.swap().value_or(()) for outcome in outcomes]
     return Documents(
-        topology=build_topology(bodies),
+        topology=build_topology(
+            bodies,
+            EMPTY_TOPOLOGY,
+            tuple(published.DocumentKind),
+        ),
         faults=tuple(chain.from_iterable(faults)),
     )
 
--- a/tests/test_rolling_stop.py
+++ b/tests/test_rolling_stop.py
@@ -81,7 +81,7 @@
         headers={'authorization': 'Bearer key-of-finders'},
         timeout=10,
     )
-    return reply.json()['run']
+    return str(reply.json()['run'])
 
 
 def test_every_daemon_replaced_under_load():
--- a/tools/fleet/layout.py
+++ b/tools/fleet/layout.py
@@ -52,8 +52,12 @@
 @final
 @dataclass(frozen=True, slots=True)
 class Layout:
-    """Every address of a fleet."""
+    """Every address of a fleet.
 
+    :ivar ports: keeps other fleets from these ports while it lives.
+    """
+
+    ports: PortPicker
     config_port: int
     vms: tuple[VmPlace, ...]
     backends: tuple[BackendPlace, ...]
@@ -63,6 +67,7 @@
     """Pick a free port for each listener of a scenario."""
     ports = PortPicker()
     return Layout(
+        ports=ports,
         config_port=ports.pick(),
         vms=tuple(_place_vms(scenario, ports)),
         backends=tuple(
--- a/tools/fleet/ports.py
+++ b/tools/fleet/ports.py
@@ -2,6 +2,7 @@
 
 import random
 import socket
+from collections.abc import Sequence
 from typing import Final, final
 
 __all__ = ('LOOPBACK', 'PortPicker')
@@ -12,24 +13,48 @@
 #: the port of a process that is down stays free until it is started again.
 _LOWEST: Final = 10_000
 _HIGHEST: Final = 32_000
+#: More than any fleet here needs.
+_BLOCK_PORTS: Final = 400
 
 
 @final
 class PortPicker:
-    """Picks ports that are free for TCP and UDP, each once."""
+    """Picks ports that are free for TCP and UDP, each once.
+
+    It holds the first port of a block while it lives, so that other fleets
+    on the machine pick from other blocks: a port is not free for long
+    between its pick and its use.
+    """
 
     def __init__(self) -> None:
-        """Start with no port picked."""
-        self._random = random.SystemRandom()
-        self._picked: set[int] = set()
+        """Find a block that no other picker holds."""
+        blocks = range(_LOWEST, _HIGHEST, _BLOCK_PORTS)
+        shuffled = random.SystemRandom().sample(blocks, len(blocks))
+        self._guard = _hold_first(shuffled)
+        first: int = self._guard.getsockname()[1]
+        self._ports = iter(range(first + 1, first + _BLOCK_PORTS))
 
     def pick(self) -> int:
-        """Pick a free port."""
-        port = self._random.randint(_LOWEST, _HIGHEST)
-        while port in self._picked or not _is_free(port):
-            port = self._random.randint(_LOWEST, _HIGHEST)
-        self._picked.add(port)
-        return port
+        """Pick a free port.
+
+        :raises OSError: the block is used up.
+        """
+        for port in self._ports:
+            if _is_free(port):
+                return port
+        raise OSError('more than {0} ports wanted'.format(_BLOCK_PORTS))
+
+
+def _hold_first(blocks: Sequence[int]) -> socket.socket:
+    for block in blocks:
+        guard = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        try:
+            guard.bind((LOOPBACK, block))
+        except OSError:
+            guard.close()
+        else:
+            return guard
+    raise OSError('every block of ports is held')
 
 
 def _is_free(port: int) -> bool:
