--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -62,3 +62,15 @@
     protocol = (ROOT / 'docs' / 'PROTOCOL.md').read_text()
     for field in Contract.model_fields:
         assert '| `{0}` |'.format(field) in protocol
+
+
+def test_modules_named_in_the_design_exist():
+    design = (ROOT / 'docs' / 'DESIGN.md').read_text()
+    modules = re.findall('`([a-z_]+/(?:[a-z_]+[.]py)?)`', design)
+    missing = [
+        module
+        for module in modules
+        if not (ROOT / 'src' / 'dandelionstage' / module).exists()
+    ]
+    assert modules
+    assert not missing
