--- a/tests/test_configuration_spread.py
+++ b/tests/test_configuration_spread.py
@@ -248,6 +248,7 @@
     """A reader freezes while it waits for a document, and wakes with it."""
     fleet.edit(200)
     frozen = _freeze_a_reading_one(fleet)
+    fleet.run(5)
     revision = fleet.edit(300)
     fleet.run(_LONG_MS)
     fleet.vms[frozen].process.wake()
