A daemon without documents goes by its seed peers

Cause: the seeds' addresses were known but the members were published an empty list, so that a daemon that started while the configuration service was down had nobody to ask.

--- a/src/dandelionstage/daemon/facts.py
+++ b/src/dandelionstage/daemon/facts.py
@@ -10,6 +10,7 @@
 from ..model.topology import Workload
 from ..routing.targets import Router
 from ..settings.model import Settings
+from .peer_view import place_seeds
 
 __all__ = ('Facts',)
 
@@ -33,10 +34,8 @@
             settings.data_centre,
             settings.data_centre_order,
         )
-        self._seeds = {
-            peer.vm: (str(peer.host), peer.inner_port)
-            for peer in settings.seed_peers
-        }
+        self._seeds = place_seeds(settings.seed_peers)
+        self.members.publish(self._seeds)
         self._followers: list[Callable[[Topology], None]] = []
 
     def follow(self, follower: Callable[[Topology], None]) -> None:
@@ -46,7 +45,7 @@
     def refresh(self) -> None:
         """Let everything follow the documents in force."""
         topology = self.store.topology
-        self.members.publish(topology.vms)
+        self.members.publish(topology.vms or self._seeds)
         self.router.use_topology(topology)
         for follower in self._followers:
             follower(topology)
@@ -61,7 +60,8 @@
 
     def address_of(self, vm: VmId) -> tuple[str, int] | None:
         """Say where a VM answers: as published, else as the seeds say."""
-        placed = self.store.topology.vms.get(vm)
+        published = self.store.topology.vms
+        placed = published.get(vm) or self._seeds.get(vm)
         if placed is None:
-            return self._seeds.get(vm)
+            return None
         return placed.vm.host, placed.vm.inner_port
