--- /dev/null
+++ b/tools/policy/__init__.py
@@ -0,0 +1,1 @@
+"""Measures decisions under virtual time, with fake backend servers."""
