Fault matrix: cells of admission, owner queue and leaving, with guards

Cause: the matrix shows only what test modules declare. Conclusion: a share moved by a repartition, a late reply of an earlier incarnation and an owner that slept have tests of their own now.

--- /dev/null
+++ b/tests/matrix_limits.py
@@ -0,0 +1,179 @@
+"""Cells of the fault matrix that concern owners, limits and admission."""
+
+from typing import Final
+
+__all__ = ('CELLS', 'GUARDS')
+
+_OWNER: Final = 'tests/test_owner.py::test_'
+_LEASES: Final = 'tests/test_share_leases.py::test_'
+_ADMISSION: Final = 'tests/test_admission.py::test_'
+_SLOTS: Final = 'tests/test_server_shares.py::test_slots_are_never_exceeded'
+_QUOTA: Final = 'tests/test_quota.py::test_contract_is_never_exceeded'
+_SLOTS_RUN: Final = ''.join((_SLOTS, '::runTest'))
+_QUOTA_RUN: Final = ''.join((_QUOTA, '::runTest'))
+_CONNECTIONS: Final = ''.join(
+    (_LEASES, 'connections_stay_under_the_limit_for_lists_that_differ'),
+)
+
+_NO_PIN: Final = 'n/a: shards are counted, whichever snapshot they are of'
+_IN_FORCE: Final = 'n/a: documents in force stay so while the service is down'
+_NO_SIGN: Final = 'n/a: says nothing of leaving'
+
+_ADMIT: Final = (
+    ('kill', _QUOTA_RUN),
+    ('freeze and wake', _QUOTA_RUN),
+    ('cut', ''.join((_ADMISSION, 'entry_cut_off_has_its_static_share'))),
+    ('silence', _QUOTA_RUN),
+    ('slow', _QUOTA_RUN),
+    ('lost reply', _QUOTA_RUN),
+    ('duplicate', _QUOTA_RUN),
+    ('reorder', _QUOTA_RUN),
+    ('shed', ''.join((_ADMISSION, 'refusals_say_why_and_when'))),
+    ('drain', _QUOTA_RUN),
+    ('snapshot switch', _NO_PIN),
+    ('repartition', _NO_PIN),
+    ('service down', _IN_FORCE),
+    ('service stale', _QUOTA_RUN),
+    ('view disagreement', _QUOTA_RUN),
+)
+
+_QUEUE: Final = (
+    ('kill', ''.join((_LEASES, 'reserve_works_with_the_first_rank_dead'))),
+    (
+        'freeze and wake',
+        ''.join((_OWNER, 'pause_drops_expired_work_before_any_start')),
+    ),
+    ('cut', _SLOTS_RUN),
+    ('silence', ''.join((_OWNER, 'lost_attempt_still_holds_its_slot'))),
+    ('slow', ''.join((_OWNER, 'work_that_cannot_finish_is_not_started'))),
+    ('lost reply', ''.join((_OWNER, 'lost_attempt_still_holds_its_slot'))),
+    (
+        'duplicate',
+        ''.join((_OWNER, 'repeated_call_or_outcome_changes_nothing')),
+    ),
+    (
+        'reorder',
+        ''.join((_LEASES, 'answer_to_another_request_changes_nothing')),
+    ),
+    ('shed', ''.join((_OWNER, 'full_queue_sheds_the_least_urgent'))),
+    ('drain', ''.join((_OWNER, 'word_of_draining_gives_queued_work_back'))),
+    ('snapshot switch', 'n/a: the queue does not look at the pin'),
+    (
+        'repartition',
+        ''.join(
+            (_LEASES, 'share_moved_by_a_repartition_waits_for_its_holder'),
+        ),
+    ),
+    ('service down', _IN_FORCE),
+    ('service stale', _SLOTS_RUN),
+    ('view disagreement', _SLOTS_RUN),
+)
+
+_LEAVING: Final = (
+    ('kill', ''.join((_OWNER, 'removed_server_gives_its_work_back'))),
+    (
+        'freeze and wake',
+        ''.join((_OWNER, 'owner_that_slept_stops_at_the_first_sign')),
+    ),
+    ('cut', ''.join((_OWNER, 'draining_server_gets_nothing_more'))),
+    ('silence', ''.join((_OWNER, 'word_of_draining_gives_queued_work_back'))),
+    ('slow', ''.join((_OWNER, 'draining_server_gets_nothing_more'))),
+    (
+        'lost reply',
+        ''.join((_OWNER, 'list_that_says_live_again_is_not_believed')),
+    ),
+    (
+        'duplicate',
+        ''.join((_OWNER, 'draining_does_not_revert_for_one_incarnation')),
+    ),
+    (
+        'reorder',
+        ''.join(
+            (
+                _OWNER,
+                'late_reply_of_an_earlier_incarnation_changes_nothing',
+            ),
+        ),
+    ),
+    ('shed', _NO_SIGN),
+    (
+        'drain',
+        ''.join((_OWNER, 'draining_does_not_revert_for_one_incarnation')),
+    ),
+    ('snapshot switch', _NO_SIGN),
+    ('repartition', _NO_SIGN),
+    ('service down', ''.join((_OWNER, 'draining_server_gets_nothing_more'))),
+    (
+        'service stale',
+        ''.join((_OWNER, 'list_that_says_live_again_is_not_believed')),
+    ),
+    (
+        'view disagreement',
+        ''.join((_OWNER, 'word_of_draining_gives_queued_work_back')),
+    ),
+)
+
+CELLS: Final = (
+    *(('admit', *cell) for cell in _ADMIT),
+    *(('owner queue', *cell) for cell in _QUEUE),
+    *(('notice leaving', *cell) for cell in _LEAVING),
+    ('connect', 'service stale', _CONNECTIONS),
+    ('connect', 'view disagreement', _CONNECTIONS),
+)
+
+GUARDS: Final = (
+    (
+        'src/dandelionstage/limits/turns.py',
+        'self._passed[priority] >= floor_starts',
+        'False',
+        ''.join((_OWNER, 'batch_is_not_starved')),
+    ),
+    (
+        'src/dandelionstage/limits/turns.py',
+        'for each in Priority if',
+        'for each in reversed(Priority) if',
+        ''.join((_OWNER, 'urgent_starts_before_earlier_batch')),
+    ),
+    (
+        'src/dandelionstage/owner/dispatcher.py',
+        'if remaining_ms < expected_ms:',
+        'if expected_ms < 0:',
+        ''.join((_OWNER, 'work_that_cannot_finish_is_not_started')),
+    ),
+    (
+        'src/dandelionstage/owner/owner.py',
+        'if paused_ms > _DOUBT_MS',
+        'if paused_ms < 0',
+        ''.join((_LEASES, 'long_paused_owner_asks_before_it_starts')),
+    ),
+    (
+        'src/dandelionstage/routing/health.py',
+        'restarted = self._incarnations.meet(incarnation) and known',
+        'restarted = True',
+        ''.join((_OWNER, 'draining_does_not_revert_for_one_incarnation')),
+    ),
+    (
+        'src/dandelionstage/limits/leases.py',
+        'return self.amount if now_ms < self.until_ms else 0',
+        'return self.amount',
+        ''.join((_LEASES, 'lender_starts_nothing_on_what_it_lent')),
+    ),
+    (
+        'src/dandelionstage/owner/dispatcher.py',
+        'hold = hold.until(waiting.deadline_ms)',
+        'hold = type(hold)(hold.lender, waiting.deadline_ms)',
+        ''.join((_LEASES, 'work_on_a_borrowed_slot_ends_with_the_lease')),
+    ),
+    (
+        'src/dandelionstage/limits/quota_account.py',
+        'kept = self.own.amount(now_ms) - self.loans.lent(now_ms)',
+        'kept = self.own.amount(now_ms)',
+        _QUOTA_RUN,
+    ),
+    (
+        'src/dandelionstage/limits/quota_split.py',
+        '(len(published.listed) + HEAD_ROOM)',
+        'len(published.listed)',
+        _QUOTA_RUN,
+    ),
+)
--- a/tests/test_owner.py
+++ b/tests/test_owner.py
@@ -192,6 +192,25 @@
     assert reasons(refused) == [Reason.BACKEND_DRAINING]
 
 
+def test_late_reply_of_an_earlier_incarnation_changes_nothing():
+    owner, running = busy_owner(3)
+    owner.finish(end(running[0]), 10)
+    owner.finish(end(running[1], DRAINING, incarnation='i-2'), 11)
+    owner.finish(end(running[2], incarnation='i-1'), 12)
+    refused = owner.offer(make_sub_request(), 40)
+    assert reasons(refused) == [Reason.BACKEND_DRAINING]
+
+
+def test_owner_that_slept_stops_at_the_first_sign():
+    owner, running = busy_owner(2)
+    owner.finish(end(running[0]), 60_000)
+    first = start(owner, make_sub_request(), 60_000)
+    owner.finish(end(first, DRAINING), 60_001)
+    for now_ms in (60_002, 63_001, 90_000):
+        refused = owner.offer(make_sub_request(), now_ms)
+        assert reasons(refused) == [Reason.BACKEND_DRAINING]
+
+
 def test_list_that_says_live_again_is_not_believed():
     owner, running = busy_owner()
     owner.finish(end(running[0]), 10)
--- a/tests/test_share_leases.py
+++ b/tests/test_share_leases.py
@@ -24,12 +24,24 @@
 from dandelionstage.limits.share_view import ShareView
 from dandelionstage.limits.server_split import split_connections, view_slots
 from dandelionstage.limits.slot_account import SlotAccount
-from dandelionstage.model.ids import CallId, VmId
-from dandelionstage.model.topology import BackendServer
+from dandelionstage.model.ids import (
+    CallId,
+    Revision,
+    ShardId,
+    SnapshotId,
+    VmId,
+    WorkloadId,
+)
+from dandelionstage.model.topology import (
+    BackendServer,
+    Snapshot,
+    Workload,
+)
 from dandelionstage.owner.owner import Owner
 from dandelionstage.routing.ownership import rank_owners
 
 VMS = tuple(map(VmId, 'abcdefgh'))
+WORKLOAD = WorkloadId('w')
 
 
 def topology_of(vms, server):
@@ -59,6 +71,17 @@
     return first, second, owners
 
 
+def make_workload(shard: str) -> Workload:
+    """Publish a workload with one shard at the server."""
+    snapshot = Snapshot(
+        snapshot=SnapshotId('now'),
+        shard_map_revision=Revision(1),
+        published_at_s=0,
+        shards={ShardId(shard): (ONE,)},
+    )
+    return Workload(workload=WORKLOAD, snapshots=(snapshot,))
+
+
 def exchange(vm, owners, now_ms):
     """Send a VM's requests and their grants; list what starts."""
     started = []
@@ -197,6 +220,32 @@
     assert exchange(first, owners, 3001)
 
 
+def test_share_moved_by_a_repartition_waits_for_its_holder():
+    server = make_server(ONE, 1)
+    moved = {
+        shard: replace(
+            topology_of(VMS[:2], server),
+            workloads={WORKLOAD: make_workload(shard)},
+        )
+        for shard in 'pqrstu'
+    }
+    firsts = {
+        shard: rank_owners(list_owner_keys(topology, HERE)[ONE][0], VMS[:2])[0]
+        for shard, topology in moved.items()
+    }
+    before, after = (
+        next(shard for shard, first in firsts.items() if first == vm)
+        for vm in VMS[:2]
+    )
+    owner = Owner(VMS[1], HERE, Random(1))
+    owner.use_topology(moved[before], 0)
+    owner.tick(2500)
+    owner.use_topology(moved[after], 5000)
+    assert not offer(owner, 5001)
+    assert not starts(owner.tick(7500))
+    assert starts(owner.tick(10_000))
+
+
 def test_successor_of_a_lender_is_not_confirmed_while_the_loan_runs(pair):
     first, second, owners = pair
     offer(owners[first], 10, 3)
--- a/tools/policy/unused_quota.py
+++ b/tools/policy/unused_quota.py
@@ -16,7 +16,7 @@
 _RUN_MS: Final = 30_000
 _WARM_MS: Final = 5_000
 _STEP_MS: Final = 10
-_MS_PER_S: Final = 1000
+_MEASURED_S: Final = (_RUN_MS - _WARM_MS) / 1000
 _NAME: Final = 'admitted of the contract, {0} of 5 VMs busy / formula'
 _CUSTOMER: Final = CustomerId('desk')
 _CONTRACT: Final = make_contract(_CUSTOMER)
@@ -42,8 +42,7 @@
         _exchange(entries, now_ms)
         if now_ms >= _WARM_MS:
             admitted += taken
-    seconds = (_RUN_MS - _WARM_MS) / _MS_PER_S
-    return admitted / seconds / WORK_PER_S
+    return admitted / _MEASURED_S / WORK_PER_S
 
 
 def _start_entries() -> _Entries:
