--- a/src/dandelionstage/daemon/node.py
+++ b/src/dandelionstage/daemon/node.py
@@ -43,6 +43,7 @@
     :ivar greeting: who this process is.
     :ivar facts: what it knows of the fleet.
     :ivar dispatch: takes further handlers of inner messages.
+    :ivar links: open links, and how those before them ended.
     :ivar peers: its links; a context manager, entered by the daemon.
     :ivar admission: admits callers' requests by their contracts.
     :ivar accepts_new: false once a planned stop takes no new queue entries.
@@ -59,7 +60,8 @@
         self.accepts_new: Callable[[], bool] = lambda: True
         self.dispatch = Dispatch()
         self.facts = self._know(settings)
-        self.peers = PeerLinks(self._link_table(), self.facts.address_of)
+        self.links = self._link_table()
+        self.peers = PeerLinks(self.links, self.facts.address_of)
         self.owner = self._own(group)
         self.admission = make_admission(
             self.greeting,
@@ -126,6 +128,7 @@
         owner = Owner(greeting.vm, greeting.data_centre, self.random)
         pools = BackendPools(group, self.facts.topology)
         service = OwnerService(owner, pools, group, monotonic_ms)
+        service.observe = self.metrics.observe
         self.facts.follow(
             lambda topology: service.carry_out(
                 owner.use_topology(topology, monotonic_ms()),
@@ -140,7 +143,9 @@
             self.owner,
             lambda reply: self.runner.take_reply(reply),
         )
-        return ExecutionRunner(courier, monotonic_ms)
+        runner = ExecutionRunner(courier, monotonic_ms)
+        runner.observe = self.metrics.observe
+        return runner
 
     def _end(self, link: Link, end: LinkEnd) -> None:
         self._inbound.drop(link)
--- a/tests/matrix_owner.py
+++ b/tests/matrix_owner.py
@@ -139,8 +139,8 @@
         _EXCEEDED,
     ),
     (
-        '{0}share_view.py'.format(_LIMITS),
-        'server.max_connections - server.slots) // _CLAIMANTS',
+        '{0}server_split.py'.format(_LIMITS),
+        'server.max_connections - server.slots) // CLAIMANTS',
         'server.max_connections - server.slots)',
         _CONNECTIONS,
     ),
