--- a/tests/lease_fleet.py
+++ b/tests/lease_fleet.py
@@ -19,7 +19,7 @@
 CHANGE_MS = 8000
 
 SETTINGS = settings(
-    max_examples=80,
+    max_examples=150,
     stateful_step_count=40,
     deadline=None,
     derandomize=True,
--- a/tests/test_share_leases.py
+++ b/tests/test_share_leases.py
@@ -24,6 +24,7 @@
 from dandelionstage.limits.share_view import ShareView
 from dandelionstage.limits.server_split import split_connections, view_slots
 from dandelionstage.limits.slot_account import SlotAccount
+from dandelionstage.limits.slot_use import Hold
 from dandelionstage.model.ids import (
     CallId,
     Revision,
@@ -190,6 +191,18 @@
     assert not account.find_slot(200, 801)
 
 
+def test_nothing_is_confirmed_with_more_slots_in_use_than_its_own():
+    account = SlotAccount()
+    circle = frozenset(VMS)
+    account.own.follow(ShareView(2, (), circle, 'x'), circle, 0)
+    for _ in range(2):
+        account.use.take(account.find_slot(0, 5000))
+    account.own.follow(ShareView(1, (), circle, 'y'), circle, 5001)
+    assert not account.is_clear_of(VMS[1], 5002)
+    account.use.free(Hold(None, 0), 5003, 5003)
+    assert account.is_clear_of(VMS[1], 5003)
+
+
 def test_later_change_still_waits_for_earlier_holders():
     settlement = Settlement()
     old, new = frozenset(VMS[:1]), frozenset(VMS[1:2])
