Ask a drained backend server whether it has restarted

Cause: a drained server gets no work, so its next incarnation under the same name would never be met. Seen failing: probes left out. Conclusion: a command once in 2 s; the answer is a hint that only a new incarnation makes anything of. The daemon does not carry it out yet.

--- a/src/dandelionstage/owner/owner.py
+++ b/src/dandelionstage/owner/owner.py
@@ -18,6 +18,7 @@
 from .dispatcher import Dispatcher
 from .intake import Intake
 from .messages import AttemptOutcome, CancelAttempt, OwnerCommand
+from .probes import Probes
 from .replies import answer
 from .retry_allowance import RetryAllowance
 from .sharing import Sharing
@@ -69,6 +70,7 @@
         self._intake = Intake(self._state)
         self._sharing = Sharing(self._state, self._shares, random)
         self._retries = RetryAllowance()
+        self._probes = Probes()
         self._seen_ms = float('-inf')
 
     def use_topology(self, topology: Topology, now_ms: float) -> Commands:
@@ -141,6 +143,7 @@
     def tick(self, now_ms: float) -> Commands:
         """Act on the passing of time; to be called once a second at least."""
         commands = self._wake(now_ms) + self._intake.expire(now_ms)
+        commands += self._probes.list_due(self._state.backends, now_ms)
         return (*commands, *self._fill_all(now_ms))
 
     def next_wakeup_ms(self, now_ms: float) -> float | None:
--- a/tests/test_owner.py
+++ b/tests/test_owner.py
@@ -23,7 +23,11 @@
 from dandelionstage.model.ids import BackendId
 from dandelionstage.model.topology import Presence
 from dandelionstage.model.verdict import Reason, Run, not_run
-from dandelionstage.owner.messages import CancelAttempt, StartAttempt
+from dandelionstage.owner.messages import (
+    CancelAttempt,
+    ProbeBackend,
+    StartAttempt,
+)
 from dandelionstage.owner.owner import Owner
 
 
@@ -230,6 +234,18 @@
     assert not owner.offer(make_sub_request(), 30)
 
 
+def test_drained_server_is_asked_whether_it_has_restarted():
+    owner, running = busy_owner()
+    assert not owner.tick(5)
+    owner.finish(end(running[0], draining=True), 10)
+    assert not owner.tick(2004)
+    assert owner.tick(2005) == (ProbeBackend(ONE),)
+    owner.hear(ONE, 'i-1', 2010, draining=False)
+    assert reasons(owner.offer(make_sub_request(), 2011))
+    owner.hear(ONE, 'i-2', 2020, draining=False)
+    assert start(owner, make_sub_request(), 2021)
+
+
 def test_word_of_draining_gives_queued_work_back():
     owner, _running = busy_owner()
     owner.offer(make_sub_request(), 0)
