--- a/tests/test_owner.py
+++ b/tests/test_owner.py
@@ -23,7 +23,11 @@
 from dandelionstage.model.ids import BackendId
 from dandelionstage.model.topology import Presence
 from dandelionstage.model.verdict import Reason, Run, not_run
-from dandelionstage.owner.messages import CancelAttempt, StartAttempt
+from dandelionstage.owner.messages import (
+    CancelAttempt,
+    ProbeBackend,
+    StartAttempt,
+)
 from dandelionstage.owner.owner import Owner
 
 
@@ -192,6 +196,25 @@
     assert reasons(refused) == [Reason.BACKEND_DRAINING]
 
 
+def test_late_reply_of_an_earlier_incarnation_changes_nothing():
+    owner, running = busy_owner(3)
+    owner.finish(end(running[0]), 10)
+    owner.finish(end(running[1], DRAINING, incarnation='i-2'), 11)
+    owner.finish(end(running[2], incarnation='i-1'), 12)
+    refused = owner.offer(make_sub_request(), 40)
+    assert reasons(refused) == [Reason.BACKEND_DRAINING]
+
+
+def test_owner_that_slept_stops_at_the_first_sign():
+    owner, running = busy_owner(2)
+    owner.finish(end(running[0]), 60_000)
+    first = start(owner, make_sub_request(), 60_000)
+    owner.finish(end(first, DRAINING), 60_001)
+    for now_ms in (60_002, 63_001, 90_000):
+        refused = owner.offer(make_sub_request(), now_ms)
+        assert reasons(refused) == [Reason.BACKEND_DRAINING]
+
+
 def test_list_that_says_live_again_is_not_believed():
     owner, running = busy_owner()
     owner.finish(end(running[0]), 10)
@@ -211,6 +234,18 @@
     assert not owner.offer(make_sub_request(), 30)
 
 
+def test_drained_server_is_asked_whether_it_has_restarted():
+    owner, running = busy_owner()
+    assert not owner.tick(5)
+    owner.finish(end(running[0], draining=True), 10)
+    assert not owner.tick(2004)
+    assert owner.tick(2005) == (ProbeBackend(ONE),)
+    owner.hear(ONE, 'i-1', 2010, draining=False)
+    assert reasons(owner.offer(make_sub_request(), 2011))
+    owner.hear(ONE, 'i-2', 2020, draining=False)
+    assert start(owner, make_sub_request(), 2021)
+
+
 def test_word_of_draining_gives_queued_work_back():
     owner, _running = busy_owner()
     owner.offer(make_sub_request(), 0)
--- a/tools/policy/experiments.py
+++ b/tools/policy/experiments.py
@@ -9,13 +9,14 @@
 from dandelionstage.routing.choice import choose_least, choose_of_two
 
 from .rows import Row, share, took_ms
-from .trial import Trial, run_trial
+from .trial import RUN_MS, Trial, run_trial
 
 __all__ = ('compare_choice', 'compare_order', 'compare_owner')
 
 _P99: Final = 0.99
 _BUSY: Final = 0.8
 _BATCH: Final = 0.8
+_OVERLOAD: Final = 3
 _LONG_MS: Final = 10_000
 _STRAGGLER_MEANS_MS: Final = (10, 100)
 
@@ -34,10 +35,10 @@
         )
 
 
-def compare_owner() -> Iterator[Row]:
+def compare_owner(run_ms: float = RUN_MS) -> Iterator[Row]:
     """Weigh one owner against each entry for itself."""
-    owner = run_trial(Trial(load=_BUSY))
-    direct = run_trial(Trial(load=_BUSY, entries=5))
+    owner = run_trial(Trial(load=_BUSY, run_ms=run_ms))
+    direct = run_trial(Trial(load=_BUSY, entries=5, run_ms=run_ms))
     yield Row(
         'one owner / direct from 5 entries: p99 in ms',
         took_ms(owner.ended, _P99),
@@ -48,11 +49,12 @@
     yield Row('  attempts per sub-request', owner.attempts, direct.attempts)
 
 
-def compare_order() -> Iterator[Row]:
+def compare_order(run_ms: float = RUN_MS) -> Iterator[Row]:
     """Weigh the priority queue against first come, first served."""
-    full = run_trial(Trial(load=1, urgent=0.1, batch=_BATCH))
-    queue = run_trial(Trial(load=3, urgent=0.1, batch=_BATCH))
-    fifo = run_trial(Trial(load=3, urgent=0.1, batch=_BATCH, disguise=_hide))
+    crowd = Trial(load=_OVERLOAD, urgent=0.1, batch=_BATCH, run_ms=run_ms)
+    full = run_trial(replace(crowd, load=1))
+    queue = run_trial(crowd)
+    fifo = run_trial(replace(crowd, disguise=_hide))
     for priority in Priority:
         yield Row(
             'priority queue / FIFO at 3x: {0} in time'.format(priority.value),
--- a/tools/policy/neighbour.py
+++ b/tools/policy/neighbour.py
@@ -19,23 +19,24 @@
 from .loop import Loop
 from .owner_run import HERE, Ended, OwnerRun
 from .rows import Row, share, took_ms
+from .trial import RUN_MS
 
 __all__ = ('measure_neighbour',)
 
 _SEED: Final = 1
-_RUN_MS: Final = 30_000
 _P99: Final = 0.99
 _GREEDY: Final = CustomerId('greedy')
 _QUIET: Final = CustomerId('quiet')
 _GREED: Final = 10
+_PRIORITY: Final = Priority.INTERACTIVE
 _VM: Final = VmId('a')
 
 
-def measure_neighbour() -> Iterator[Row]:
+def measure_neighbour(run_ms: float = RUN_MS) -> Iterator[Row]:
     """Let one customer ask for ten times its contract beside another."""
-    calm = _run_two(1, admitting=True)
-    admitting = _run_two(_GREED, admitting=True)
-    open_door = _run_two(_GREED, admitting=False)
+    calm = _run_two(1, run_ms, admitting=True)
+    admitting = _run_two(_GREED, run_ms, admitting=True)
+    open_door = _run_two(_GREED, run_ms, admitting=False)
     yield Row(
         'neighbour at 10x, admission / none: p99 in ms',
         took_ms(_of(admitting, _QUIET), _P99),
@@ -53,27 +54,33 @@
     )
 
 
-def _run_two(greed: float, *, admitting: bool) -> list[Ended]:
-    loop, random = Loop(), Random(_SEED)
+def _run_two(greed: float, run_ms: float, *, admitting: bool) -> list[Ended]:
+    loop = Loop()
+    random = Random(_SEED)
     servers = make_servers((10, 10), loop, random)
-    owner = OwnerRun(_VM, servers, loop)
-    gate = _Gate(owner, loop, admitting=admitting)
-    for customer, per_s in (
-        (_GREEDY, greed * WORK_PER_S),
-        (_QUIET, WORK_PER_S / 2),
-    ):
-        stream = Stream(customer, Priority.INTERACTIVE, per_s, DEADLINE_MS)
+    gate = _Gate(OwnerRun(_VM, servers, loop), loop, admitting=admitting)
+    for stream in _list_streams(greed):
         arrive(stream, tuple(servers), loop, random, gate.take)
-    loop.run(_RUN_MS)
-    return owner.ended
+    loop.run(run_ms)
+    return gate.owner.ended
+
+
+def _list_streams(greed: float) -> tuple[Stream, ...]:
+    return (
+        Stream(_GREEDY, _PRIORITY, greed * WORK_PER_S, DEADLINE_MS),
+        Stream(_QUIET, _PRIORITY, WORK_PER_S / 2, DEADLINE_MS),
+    )
 
 
 class _Gate:
-    """Admits sub-requests by contract, or all of them."""
+    """Admits sub-requests by contract, or all of them.
+
+    :ivar owner: takes what is admitted.
+    """
 
     def __init__(self, owner: OwnerRun, loop: Loop, *, admitting: bool) -> None:
         """Stand before an owner."""
-        self._owner = owner
+        self.owner = owner
         self._loop = loop
         self._admitting = admitting
         self._contracts = {
@@ -92,7 +99,7 @@
             if self._admission.admit(contract, 1, self._loop.now_ms):
                 return
             self._admission.release(contract)
-        self._owner.offer(sub_request)
+        self.owner.offer(sub_request)
 
 
 def _of(ended: Sequence[Ended], customer: CustomerId) -> list[Ended]:
--- a/tools/policy/trial.py
+++ b/tools/policy/trial.py
@@ -17,10 +17,11 @@
 from .owner_run import Disguise, Ended, OwnerRun, show_all
 from .server import FakeServer
 
-__all__ = ('Trial', 'TrialEnd', 'run_trial')
+__all__ = ('RUN_MS', 'Trial', 'TrialEnd', 'run_trial')
 
 _SEED: Final = 1
-_RUN_MS: Final = 30_000
+#: Virtual time of a run.
+RUN_MS: Final = 30_000
 _MS_PER_S: Final = 1000
 #: What two servers of two slots can do, with a round trip for each.
 _CAPACITY_PER_S: Final = 360
@@ -52,6 +53,7 @@
     urgent: float = 0
     batch: float = 0
     entries: int = 1
+    run_ms: float = RUN_MS
     choose: Chooser = choose_least
     disguise: Disguise = show_all
 
@@ -104,7 +106,7 @@
 
     for stream in _list_streams(trial):
         arrive(stream, tuple(servers), loop, random, take)
-    loop.run(_RUN_MS)
+    loop.run(trial.run_ms)
     return _sum_up(owners, tuple(servers.values()))
 
 
--- a/tools/policy/unused_quota.py
+++ b/tools/policy/unused_quota.py
@@ -16,7 +16,8 @@
 _RUN_MS: Final = 30_000
 _WARM_MS: Final = 5_000
 _STEP_MS: Final = 10
-_MS_PER_S: Final = 1000
+_MEASURED_S: Final = (_RUN_MS - _WARM_MS) / 1000
+_NAME: Final = 'admitted of the contract, {0} of 5 VMs busy / formula'
 _CUSTOMER: Final = CustomerId('desk')
 _CONTRACT: Final = make_contract(_CUSTOMER)
 _VMS: Final = tuple(map(VmId, 'abcde'))
@@ -25,26 +26,23 @@
 
 def measure_unused() -> Iterator[Row]:
     """Compare what k of 5 busy VMs get with 1 - 0.25 (1 - k / 7)."""
-    for busy in range(1, len(_VMS) + 1):
-        yield Row(
-            'admitted of the contract, {0} of 5 VMs busy / formula'.format(
-                busy
-            ),
-            _admit_all(busy),
-            1 - (1 - busy / (len(_VMS) + 2)) / 4,
-        )
+    listed = len(_VMS)
+    for busy in range(1, listed + 1):
+        usable = 1 - (1 - busy / (listed + 2)) / 4
+        yield Row(_NAME.format(busy), _admit_all(busy), usable)
 
 
 def _admit_all(busy: int) -> float:
     """Admit as much as is allowed, after the leases have settled."""
     entries = _start_entries()
+    used = tuple(entries.values())[:busy]
     admitted = 0
     for now_ms in range(0, _RUN_MS, _STEP_MS):
-        taken = sum(_fill(entries[vm], now_ms) for vm in _VMS[:busy])
-        admitted += taken if now_ms >= _WARM_MS else 0
+        taken = sum(_fill(entry, now_ms) for entry in used)
         _exchange(entries, now_ms)
-    seconds = (_RUN_MS - _WARM_MS) / _MS_PER_S
-    return admitted / seconds / WORK_PER_S
+        if now_ms >= _WARM_MS:
+            admitted += taken
+    return admitted / _MEASURED_S / WORK_PER_S
 
 
 def _start_entries() -> _Entries:
@@ -66,6 +64,9 @@
 def _exchange(entries: _Entries, now_ms: float) -> None:
     for vm, entry in entries.items():
         for to, request in entry.steward.requests(now_ms):
-            lender = entries[to].steward
-            grant = lender.receive_request(vm, request, now_ms)
-            entry.steward.receive_grant(to, grant, now_ms)
+            steward = entries[to].steward
+            entry.steward.receive_grant(
+                to,
+                steward.receive_request(vm, request, now_ms),
+                now_ms,
+            )
