A drained backend server that restarted is taken back

Cause: the owner asked for a look at drained servers, and the daemon did not carry it out, so that a server restarted under the same id stayed unused. Ruled out: believing that the same incarnation no longer drains, since leaving never reverts.

--- /dev/null
+++ b/src/dandelionstage/backend/health.py
@@ -0,0 +1,68 @@
+"""Asks a backend server who it is; the answer is a hint."""
+
+from typing import Final, final
+
+import anyio
+import httpcore
+from pydantic import BaseModel, ValidationError
+
+from ..model.topology import BackendServer
+
+__all__ = ('Health', 'ask_health')
+
+_TIMEOUT_S: Final = 1
+_MAX_BODY_BYTES: Final = 65_536
+
+
+@final
+class Health(BaseModel):
+    """What a backend server says of itself.
+
+    :ivar incarnation: another one than before means that it restarted.
+    """
+
+    incarnation: str
+    draining: bool = False
+
+
+async def ask_health(server: BackendServer) -> Health | None:
+    """Ask on a connection of its own, ``None`` if nothing sensible came."""
+    with anyio.move_on_after(_TIMEOUT_S):
+        try:
+            return Health.model_validate_json(await _fetch(server))
+        except (
+            httpcore.NetworkError,
+            httpcore.ProtocolError,
+            ValidationError,
+        ):
+            return None
+    return None
+
+
+async def _fetch(server: BackendServer) -> bytes:
+    origin = httpcore.Origin(b'http', server.host.encode(), server.port)
+    async with httpcore.AsyncHTTPConnection(origin) as connection:
+        request = httpcore.Request(
+            'GET',
+            httpcore.URL(
+                scheme=b'http',
+                host=server.host.encode(),
+                port=server.port,
+                target=b'/v1/health',
+            ),
+            headers={'host': server.host},
+        )
+        response = await connection.handle_async_request(request)
+        try:
+            return await _read_bounded(response)
+        finally:
+            await response.aclose()
+
+
+async def _read_bounded(response: httpcore.Response) -> bytes:
+    body = bytearray()
+    async for chunk in response.aiter_stream():
+        body += chunk
+        if len(body) > _MAX_BODY_BYTES:
+            return b''
+    return bytes(body)
--- a/src/dandelionstage/daemon/backend_pools.py
+++ b/src/dandelionstage/daemon/backend_pools.py
@@ -6,6 +6,7 @@
 import anyio
 from anyio.abc import TaskGroup, TaskStatus
 
+from ..backend.health import Health, ask_health
 from ..backend.pool import BackendPool
 from ..configuration.topology import Topology
 from ..model.ids import BackendId, CallId
@@ -55,6 +56,11 @@
         if pool is not None:
             await pool.cancel(call)
 
+    async def ask_health(self, backend: BackendId) -> Health | None:
+        """Ask a backend server who it is, ``None`` if it does not say."""
+        placed = self._topology().backends.get(backend)
+        return None if placed is None else await ask_health(placed.server)
+
     async def _pool(
         self,
         backend: BackendId,
--- a/src/dandelionstage/daemon/owner_service.py
+++ b/src/dandelionstage/daemon/owner_service.py
@@ -6,12 +6,12 @@
 import anyio
 from anyio.abc import TaskGroup
 
-from ..model.ids import CallId, CustomerId
+from ..model.ids import BackendId, CallId, CustomerId
 from ..model.messages import SubReply, SubRequest
 from ..owner.messages import (
     CancelAttempt,
     OwnerCommand,
-    SendReply,
+    ProbeBackend,
     StartAttempt,
 )
 from ..model.verdict import Reason
@@ -34,7 +34,7 @@
 
 
 @final
-class OwnerService:
+class OwnerService:  # noqa: WPS214 -- one method for each event
     """Runs one owner over the pools of its backend servers.
 
     :ivar after_event: called once the owner's decisions are carried out.
@@ -88,7 +88,9 @@
                     command.backend,
                     command.call,
                 )
-            elif isinstance(command, SendReply):
+            elif isinstance(command, ProbeBackend):
+                self._group.start_soon(self._probe, command.backend)
+            else:
                 self._reply(command.sub_reply)
         self.after_event()
 
@@ -99,6 +101,18 @@
             self.observe(Hop.QUEUE, customer, reply.queue_ms)
             reply_to(reply)
 
+    async def _probe(self, backend: BackendId) -> None:
+        health = await self._pools.ask_health(backend)
+        if health is not None:
+            self.carry_out(
+                self.owner.hear(
+                    backend,
+                    health.incarnation,
+                    self._clock(),
+                    draining=health.draining,
+                ),
+            )
+
     async def _attempt(self, start: StartAttempt) -> None:
         allowance = self.owner.connection_allowance(start.backend)
         outcome = await self._pools.attempt(start, allowance)
--- a/tools/standins/backend/server.py
+++ b/tools/standins/backend/server.py
@@ -38,6 +38,8 @@
         if request.target in {'/v1/health', '/v1/load'}:
             return HttpReply.of(
                 HTTPStatus.OK,
+                backend=self.setup.backend,
+                incarnation=self.setup.incarnation,
                 draining=self.faults.draining,
                 slots_in_use=self.witness.slots.in_use,
                 waiting=self.witness.queue.in_use,
