Lists of VMs stay the same while nobody's standing changes

Cause: every first word of a VM, and every new incarnation, had each list of its data centre built anew and all that others derived from it too. Conclusion: tests of members, peer view and matrix pass.

--- a/src/dandelionstage/membership/roster.py
+++ b/src/dandelionstage/membership/roster.py
@@ -74,10 +74,12 @@
         A VM that the list does not name is not taken in.
         """
         placed = self._published.get(vm)
-        if placed is None or not standing.outranks(self.standing_of(vm)):
+        before = self.standing_of(vm)
+        if placed is None or not standing.outranks(before):
             return False
         self._standings[vm] = standing
-        self.ranking.forget(placed.data_centre)
+        if standing.state is not before.state:
+            self.ranking.forget(placed.data_centre)
         return True
 
     def _order(self, vm: VmId) -> int:
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -232,3 +232,15 @@
         probes = [vm.traffic.probes for vm in fleet.vms.values()]
         sent.append(sum(probes) / size)
     assert sent[2] < sent[0] * 1.2
+
+
+def test_a_list_is_the_same_object_until_who_is_trusted_changes(fleet):
+    member = fleet.vms[VmId('jihlava-0')].members
+    before = member.live(_HOME)
+    fleet.start([_VM], incarnation=2)
+    fleet.network.run(3000)
+    assert member.incarnation_of(_VM) == 2
+    assert member.live(_HOME) is before
+    fleet.stop([_VM])
+    fleet.network.run(2000)
+    assert _VM not in member.live(_HOME)
