Owner: no estimate for work that is alone, no sums over nothing

Conclusion: the rest is spent looking at each replica's slots twice; the answer could be kept between choosing a server and starting work there.

--- a/src/dandelionstage/limits/leases.py
+++ b/src/dandelionstage/limits/leases.py
@@ -55,6 +55,8 @@
 
     def lent(self, now_ms: float) -> float:
         """Sum up what others may still hold."""
+        if not self._loans:
+            return 0
         return sum(self.held_by(vm, now_ms) for vm in tuple(self._loans))
 
     def held_by(self, vm: VmId, now_ms: float) -> float:
@@ -96,6 +98,8 @@
 
     def total(self, now_ms: float) -> float:
         """Sum up all leases that have not ended."""
+        if not self._leases:
+            return 0
         return sum(lease.worth(now_ms) for lease in self._leases.values())
 
     def of(self, lender: VmId) -> Lease:
--- a/src/dandelionstage/owner/intake.py
+++ b/src/dandelionstage/owner/intake.py
@@ -73,6 +73,8 @@
     def _shed(
         self, lane: Lane, waiting: Waiting, now_ms: float
     ) -> list[OwnerCommand]:
+        if len(lane.queue) == 1:
+            return []
         service = self._estimate(lane, now_ms)
         verdict = judge_arrival(lane.queue, waiting, service, now_ms)
         if verdict is None:
