Tests of the configuration tasks take ports that nobody else takes

Cause: a port was picked from the range of outgoing connections and given back before use; when another process took it the service never came up and the wait for it had no end (one hang and one timeout seen beside other runs). Ruled out: a swallowed cancel in the tasks, which was not reproduced; the wait now has a bound that would show it.

--- a/tests/configuration_nodes.py
+++ b/tests/configuration_nodes.py
@@ -1,7 +1,6 @@
 """Daemons' configuration and membership tasks on real sockets."""
 
 import random
-import socket
 import sys
 from collections.abc import Iterable
 from subprocess import Popen
@@ -27,15 +26,19 @@
 from dandelionstage.model.ids import DataCentreId, Incarnation, VmId
 from dandelionstage.model.messages import Digest, Documents, Pull
 from dandelionstage.model.topology import Vm
+from tools.fleet.ports import PortPicker
 
 HOST = '127.0.0.1'
 
 
+#: Holds a block of ports while the tests run, so that nobody else takes one
+#: between its pick and its use.
+PORTS = PortPicker()
+
+
 def free_port() -> int:
     """Find a port that nothing listens on."""
-    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as probe:
-        probe.bind((HOST, 0))
-        return int(probe.getsockname()[1])
+    return PORTS.pick()
 
 
 def start_service(port: int) -> 'Popen[bytes]':
@@ -52,14 +55,18 @@
 
 
 async def wait_for_service(client: httpx.AsyncClient) -> None:
-    """Wait until the service answers."""
-    while True:
-        try:
-            await client.get('/control/reads')
-        except httpx.HTTPError:
+    """Wait until the service answers, but not for ever."""
+    with anyio.fail_after(10):
+        while not await _answers(client):
             await anyio.sleep(0.05)
-        else:
-            return
+
+
+async def _answers(client: httpx.AsyncClient) -> bool:
+    try:
+        await client.get('/control/reads')
+    except httpx.HTTPError:
+        return False
+    return True
 
 
 class Node:
