--- a/src/dandelionstage/daemon/caller_interface.py
+++ b/src/dandelionstage/daemon/caller_interface.py
@@ -10,7 +10,7 @@
 from ..actions.table import Minter, TicketLimits, TicketTable
 from ..entry.action_service import ActionService, Forwarder
 from ..entry.app import CallerApi, caller_app
-from ..entry.arrivals import Gatekeeper
+from ..entry.arrivals import RequestReader
 from ..entry.customers import CustomerKeys
 from ..entry.minting import MintingService
 from ..entry.query_service import QueryService
@@ -59,7 +59,7 @@
 
         :param accepting: false once a planned stop takes no new requests.
         """
-        gatekeeper = Gatekeeper(
+        reader = RequestReader(
             topology=self._node.facts.topology,
             accepting=accepting,
             clock=monotonic_ms,
@@ -68,7 +68,7 @@
         )
         return caller_app(
             CallerApi(
-                gatekeeper,
+                reader,
                 self._queries,
                 self._actions,
                 self._node.metrics,
--- a/src/dandelionstage/daemon/node.py
+++ b/src/dandelionstage/daemon/node.py
@@ -23,7 +23,7 @@
 from .aging import Aging
 from .backend_pools import BackendPools
 from .clock import monotonic_ms
-from .courier import make_courier
+from .sender import make_sender
 from .dispatch import Dispatch
 from .facts import Facts
 from .identity import new_greeting
@@ -139,13 +139,13 @@
         return service
 
     def _run(self) -> ExecutionRunner:
-        courier = make_courier(
+        sender = make_sender(
             self.greeting.vm,
             self.peers.send,
             self.owner,
             lambda reply: self.runner.take_reply(reply),
         )
-        runner = ExecutionRunner(courier, monotonic_ms)
+        runner = ExecutionRunner(sender, monotonic_ms)
         runner.observe = self.metrics.observe
         return runner
 
--- a/src/dandelionstage/daemon/courier.py
+++ b/src/dandelionstage/daemon/sender.py
@@ -2,22 +2,22 @@
 
 from collections.abc import Callable
 
-from ..entry.runner import Courier
+from ..entry.runner import Sender
 from ..inner.messages import CancelCall, InnerMessage
 from ..model.ids import CallId, VmId
 from ..model.messages import SubReply, SubRequest
 from .owner_service import OwnerService
 
-__all__ = ('make_courier',)
+__all__ = ('make_sender',)
 
 
-def make_courier(
+def make_sender(
     vm: VmId,
     send: Callable[[VmId, InnerMessage], None],
     owner: OwnerService,
     take_reply: Callable[[SubReply], None],
-) -> Courier:
-    """Make the courier of one daemon.
+) -> Sender:
+    """Make the sender of one daemon.
 
     :param vm: this daemon.
     :param send: queues a message to another one.
@@ -39,4 +39,4 @@
         else:
             send(target, CancelCall(call))
 
-    return Courier(send_request, cancel)
+    return Sender(send_request, cancel)
--- a/src/dandelionstage/entry/app.py
+++ b/src/dandelionstage/entry/app.py
@@ -17,7 +17,7 @@
 from ..operations.logs import FaultLog, request_context
 from ..operations.metrics import Metrics
 from .action_service import ActionService
-from .arrivals import Arrival, Gatekeeper
+from .arrivals import Arrival, RequestReader
 from .bodies import ActionBody, CallerBody, QueryBody, TicketBody
 from .query_service import QueryService
 from .responses import (
@@ -45,7 +45,7 @@
     :ivar faults: logs refusals at a bounded rate.
     """
 
-    gatekeeper: Gatekeeper
+    reader: RequestReader
     queries: QueryService
     actions: ActionService
     metrics: Metrics
@@ -55,7 +55,7 @@
     async def query(self, request: Request) -> Response:
         """Serve ``POST /v1/query``."""
         return await self._serve(
-            await self.gatekeeper.admit(
+            await self.reader.admit(
                 request,
                 WorkloadKind.SEARCH,
                 QueryBody,
@@ -66,7 +66,7 @@
     async def mint(self, request: Request) -> Response:
         """Serve ``POST /v1/tickets``."""
         return await self._serve(
-            await self.gatekeeper.admit(
+            await self.reader.admit(
                 request,
                 WorkloadKind.ACTIONS,
                 TicketBody,
@@ -77,7 +77,7 @@
     async def act(self, request: Request) -> Response:
         """Serve ``POST /v1/actions``."""
         return await self._serve(
-            await self.gatekeeper.admit(
+            await self.reader.admit(
                 request,
                 WorkloadKind.ACTIONS,
                 ActionBody,
--- a/src/dandelionstage/entry/arrivals.py
+++ b/src/dandelionstage/entry/arrivals.py
@@ -16,7 +16,7 @@
 from .bodies import CallerBody, read_body
 from .customers import CustomerKeys, find_workload
 
-__all__ = ('Arrival', 'Gatekeeper')
+__all__ = ('Arrival', 'RequestReader')
 
 _REQUEST_ID_BYTES: Final = 8
 _RETRY_ELSEWHERE_MS: Final = 100
@@ -41,7 +41,7 @@
 
 @final
 @dataclass(frozen=True, slots=True)
-class Gatekeeper:
+class RequestReader:
     """Checks every request alike before anything is done for it.
 
     :ivar accepting: false once a planned stop takes no new requests.
--- a/src/dandelionstage/entry/runner.py
+++ b/src/dandelionstage/entry/runner.py
@@ -14,7 +14,7 @@
 from ..operations.labels import Hop, Observe, ignore
 from ..query.messages import CancelSubRequest, SendSubRequest
 
-__all__ = ('Courier', 'Execution', 'ExecutionRunner')
+__all__ = ('Sender', 'Execution', 'ExecutionRunner')
 
 _MS_PER_S: Final = 1000
 #: A reply that comes this long after the end may still be of use.
@@ -28,7 +28,7 @@
 
 @final
 @dataclass(frozen=True, slots=True)
-class Courier:
+class Sender:
     """Carries sub-requests to owners; each callable returns at once.
 
     :ivar send: the reply, or the loss, is reported later.
@@ -61,18 +61,18 @@
 
 @final
 class ExecutionRunner:
-    """Runs any number of executions over one courier.
+    """Runs any number of executions over one sender.
 
     :ivar dropped: replies to no call that is waited for.
     :ivar clock: reads the monotonic clock in milliseconds.
     :ivar observe: takes the time that each attempt took, there and back.
     """
 
-    def __init__(self, courier: Courier, clock: Callable[[], float]) -> None:
+    def __init__(self, sender: Sender, clock: Callable[[], float]) -> None:
         """Run nothing yet."""
         self.dropped = 0
         self.observe: Observe = ignore
-        self._courier = courier
+        self._sender = sender
         self.clock = clock
         self._waiting: dict[CallId, _Running[Any]] = {}
         self._ended: '_Ended' = deque()
@@ -137,9 +137,9 @@
                 running.calls.append(call)
                 running.sent[call] = (customer, self.clock())
                 self._waiting[call] = running
-                self._courier.send(command.vm, command.sub_request)
+                self._sender.send(command.vm, command.sub_request)
             elif isinstance(command, CancelSubRequest):
-                self._courier.cancel(command.vm, command.call)
+                self._sender.cancel(command.vm, command.call)
             else:
                 running.end(command)
 
