Settings bound only what they say: requests of callers in flight

Cause: three bounds of the settings were checked and then used nowhere; found by reading as a newcomer. Ruled out: keeping them as constants under a setting's name. Frames and links per address keep their built-in bounds and lose the settings; callers' requests in flight are bounded for real, refused unread as not run. Conclusion: every setting has an effect.

--- a/src/dandelionstage/daemon/daemon.py
+++ b/src/dandelionstage/daemon/daemon.py
@@ -53,6 +53,7 @@
         self._callers = InFlight(
             services.app(lambda: self._stop.accepts_new),
             lambda: self._stop.state is StopState.SERVING,
+            settings.bounds.max_caller_requests,
         )
         self._stop = StopService(
             node,
--- a/src/dandelionstage/settings/model.py
+++ b/src/dandelionstage/settings/model.py
@@ -80,16 +80,13 @@
     """How much one caller or peer may make the daemon hold.
 
     :ivar max_body_bytes: a larger request body is refused unread.
-    :ivar max_caller_connections: callers connected at a time.
-    :ivar max_frame_bytes: a larger inner frame ends its connection.
-    :ivar max_connections_per_peer: inner connections from one address.
+    :ivar max_caller_requests: callers' requests in flight at a time; more
+        are refused unread.
     :ivar stop_ms: a planned stop ends after this long at the latest.
     """
 
     max_body_bytes: Count = _MEBIBYTE
-    max_caller_connections: Count = 1000
-    max_frame_bytes: Count = 8 * _MEBIBYTE
-    max_connections_per_peer: Count = 4
+    max_caller_requests: Count = 1000
     stop_ms: Annotated[Count, Field(le=_MAX_STOP_MS)] = 30_000
 
 
