The report judges extra load by the budget's own constant

Cause: the primaries whose share may be saved up stood twice, in the retry budget and in the report's judgement; a change of one would have made the report judge wrongly. Conclusion: one constant; a comment on admission says what the callables do.

--- a/src/dandelionstage/cli/judgement.py
+++ b/src/dandelionstage/cli/judgement.py
@@ -7,6 +7,7 @@
 from ..model.verdict import Reason
 from ..operations.latency import LatencySummary
 from ..operations.status import Promise
+from ..retries.budget import SAVED_PRIMARIES
 from .totals import Totals
 
 __all__ = ('Judgement', 'breaches', 'own_refusals')
@@ -14,8 +15,6 @@
 #: The share of answers that a contract speaks of.
 _KEPT_SHARE: Final = 0.99
 _KEPT_QUANTILE: Final = '0.99'
-#: Primaries whose share of extra load each daemon may have saved up.
-_SAVED_PRIMARIES: Final = 400
 
 #: Refusals that the customer itself brought about.
 _BY_CUSTOMER: Final = frozenset(
@@ -69,7 +68,7 @@
     if totals.within_contract < _KEPT_SHARE * due:
         breach = '{0} of {1} requests were answered as promised'
         yield breach.format(totals.within_contract, due)
-    saved = _SAVED_PRIMARIES * daemons
+    saved = SAVED_PRIMARIES * daemons
     allowed = promise.extra_load_fraction * (totals.primaries + saved)
     if totals.extra_load > allowed:
         breach = '{0} extra attempts, allowed {1:.0f}'
--- a/src/dandelionstage/entry/query_service.py
+++ b/src/dandelionstage/entry/query_service.py
@@ -18,8 +18,8 @@
 
 __all__ = ('Admission', 'QueryService')
 
-#: Says whether a customer may have this many sub-requests now; the second
-#: callable gives back what a refused or finished query held.
+#: Says whether a customer may have this many sub-requests now, ``None`` if
+#: it may; what was admitted is given back when the request has ended.
 Admission = Callable[[Contract, int, float], Verdict | None]
 
 
--- a/src/dandelionstage/retries/budget.py
+++ b/src/dandelionstage/retries/budget.py
@@ -5,10 +5,10 @@
 from ..model.contract import Contract
 from ..model.ids import CustomerId
 
-__all__ = ('RetryBudget', 'RetryBudgets')
+__all__ = ('SAVED_PRIMARIES', 'RetryBudget', 'RetryBudgets')
 
 #: Primary sub-requests whose share of extra load may be saved up.
-_SAVED_PRIMARIES: Final = 400
+SAVED_PRIMARIES: Final = 400
 
 
 @final
@@ -58,7 +58,7 @@
 
     @property
     def _limit(self) -> float:
-        return self._fraction * _SAVED_PRIMARIES
+        return self._fraction * SAVED_PRIMARIES
 
 
 @final
