Thin path on the users' platform: gateway, catalog, spread, adapter

Cause: nothing ran on the platform. A lean serving path of its own is needed, since the daemon's imports alone take 35 MB. Change: protocol classes over uvloop with httptools, direct scatter with each VM's share of connections and extra attempts, hellos between VMs, two readers of the store for all.

--- /dev/null
+++ b/src/dandelionstage/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""Serves callers straight from backend servers, with little work each."""
--- /dev/null
+++ b/src/dandelionstage/gateway/gather_run.py
@@ -0,0 +1,254 @@
+"""One query over many shards, from its first sub-request to its answer."""
+
+from collections.abc import Callable
+from http import HTTPStatus
+from typing import Final, final
+
+from ..catalog.routes import Gather, Route, ServiceId
+from ..catalog.servers import ServerId
+from .attempt import Attempt, Ending, Reply
+from .pacing import Pace
+from .records import greatest_records
+from .requests import Answer, CallerRequest, refusal
+from .run import FirstAnswer, Sender, is_good
+from .tools import RunTools
+
+__all__ = ('GatherRun',)
+
+_OCTETS: Final = (b'content-type', b'application/octet-stream')
+
+
+@final
+class _Shard:
+    """What was asked of one shard."""
+
+    __slots__ = ('out', 'part', 'service', 'tried')
+
+    def __init__(self, service: ServiceId) -> None:
+        self.service = service
+        self.tried: list[ServerId] = []
+        self.out: list[Attempt] = []
+        self.part: Reply | None = None
+
+
+@final
+class GatherRun:  # noqa: WPS214 -- one query's whole course, short methods
+    """Asks one server of each shard and answers with the greatest records.
+
+    Until the target nothing is lost by waiting, so an incomplete answer is
+    given at the target and not before, unless the rest cannot come.  After
+    it the answer is given as soon as it is complete enough.
+    """
+
+    def __init__(
+        self,
+        request: CallerRequest,
+        route: Route,
+        pace: Pace,
+        tools: RunTools,
+        give: Callable[[Answer], None],
+    ) -> None:
+        """Take the set of shards of one version of the routes."""
+        assert route.gather is not None  # noqa: S101 -- chosen by the caller
+        self._request = request
+        self._route = route
+        self._gather: Gather = route.gather
+        self._pace = pace
+        self._tools = tools
+        self._answer = FirstAnswer(give)
+        self._sender = Sender(request, route, pace, tools)
+        self._shards = [_Shard(shard) for shard in self._gather.shards]
+        self._open = len(self._shards)
+        self._parts = 0
+        self._is_late = False
+        self._in_start = True
+
+    def start(self) -> None:
+        """Ask every shard once."""
+        self._request.on_gone = self.cancel
+        now_ms = self._tools.now_ms()
+        for shard in self._shards:
+            self._tools.budgets.earn(shard.service, now_ms)
+            if not self._ask(shard):
+                self._close(shard)
+        self._in_start = False
+        self._sender.call_at(self._pace.hedge_ms, self._hedge)
+        self._decide()
+
+    def cancel(self) -> None:
+        """Stop, as the caller is gone."""
+        self._answer.drop()
+        self._tools.log.event(
+            'caller_gone',
+            request=self._request.log_id,
+            route=self._route.name,
+            parts=self._parts,
+            shards=len(self._shards),
+        )
+        self._release(is_slow=False)
+
+    def _ask(self, shard: _Shard) -> bool:
+        replica = self._tools.replicas.choose(
+            shard.service, shard.tried, self._tools.now_ms()
+        )
+        if replica is None:
+            return False
+        shard.tried.append(replica.record.server)
+        attempt = self._sender.send(
+            replica, lambda ended, ending: self._end(shard, ended, ending)
+        )
+        if not attempt.ended:
+            shard.out.append(attempt)
+        return True
+
+    def _end(self, shard: _Shard, attempt: Attempt, ending: Ending) -> None:
+        self._sender.learn(attempt, ending)
+        if attempt in shard.out:
+            shard.out.remove(attempt)
+        if is_good(ending) and isinstance(ending, Reply):
+            self._take_part(shard, ending)
+        else:
+            self._retry(shard, attempt, ending)
+        if not self._in_start:
+            self._decide()
+
+    def _take_part(self, shard: _Shard, reply: Reply) -> None:
+        shard.part = reply
+        self._parts += 1
+        self._open -= 1
+        for slower in shard.out:
+            self._sender.give_up(slower, is_slow=True)
+        shard.out.clear()
+
+    def _retry(self, shard: _Shard, attempt: Attempt, ending: Ending) -> None:
+        """Ask another server of the shard after a failure."""
+        self._tools.log.event(
+            'attempt_failed',
+            request=self._request.log_id,
+            service=shard.service,
+            server=attempt.server,
+            outcome=_outcome(ending),
+            waited_ms=round(self._tools.now_ms() - attempt.started_ms, 1),
+        )
+        if shard.out:
+            return
+        # What never left this VM is no extra load on any server.
+        is_free = attempt.sent_ms is None
+        may_ask = len(shard.tried) < self._route.attempts and (
+            is_free or self._sender.take_extra(shard.service, 'retry')
+        )
+        if not (may_ask and self._ask(shard)):
+            self._close(shard)
+
+    def _close(self, shard: _Shard) -> None:
+        """Go on without a shard that cannot be had."""
+        self._open -= 1
+        self._tools.log.event(
+            'shard_left_out',
+            request=self._request.log_id,
+            service=shard.service,
+            tried=len(shard.tried),
+            known=len(self._tools.replicas.of(shard.service)),
+        )
+
+    def _hedge(self) -> None:
+        """Ask a second server of each shard that is slow to answer."""
+        for shard in self._shards:
+            if len(shard.out) == 1 and len(shard.tried) < self._route.attempts:
+                self._hedge_shard(shard)
+        self._sender.call_at(self._pace.answer_ms, self._reach_target)
+
+    def _hedge_shard(self, shard: _Shard) -> None:
+        now_ms = self._tools.now_ms()
+        self._sender.note_slow(shard.out[0])
+        first = self._tools.replica_of(shard.out[0].server)
+        other = self._tools.replicas.choose(
+            shard.service, shard.tried, now_ms
+        )
+        if other is None:
+            return
+        # A server that is worse still would not answer sooner.
+        is_better = first is None or other.cost(now_ms) <= first.cost(now_ms)
+        if is_better and self._sender.take_extra(shard.service, 'hedge'):
+            self._ask(shard)
+
+    def _reach_target(self) -> None:
+        self._is_late = True
+        self._decide()
+        if self._answer.is_due:
+            self._sender.call_at(self._pace.end_ms, self._run_out)
+
+    def _decide(self) -> None:
+        """Answer once waiting longer is of no use to the caller."""
+        if not self._answer.is_due:
+            return
+        is_enough = self._parts >= self._gather.least_parts
+        if is_enough and (self._is_late or not self._open):
+            self._succeed()
+        elif self._parts + self._open < self._gather.least_parts:
+            self._fail(HTTPStatus.BAD_GATEWAY, 'too few shards answer')
+
+    def _run_out(self) -> None:
+        self._fail(HTTPStatus.GATEWAY_TIMEOUT, 'too few shards in time')
+
+    def _succeed(self) -> None:
+        parts = [shard.part for shard in self._shards if shard.part]
+        missing = len(self._shards) - len(parts)
+        names = self._tools.names
+        stamps = ', '.join(part.stamp for part in parts)
+        body = greatest_records(
+            (part.body for part in parts), self._gather.record_count
+        )
+        if missing:
+            self._log_end('partial_answer', HTTPStatus.OK)
+        self._answer.give(
+            Answer(
+                HTTPStatus.OK.value,
+                (
+                    _OCTETS,
+                    (names.request_id, self._request.request_id),
+                    (names.parts, stamps.encode('latin-1')),
+                    (names.missing, b'%d' % missing),
+                ),
+                body,
+            )
+        )
+        self._release(is_slow=True)
+
+    def _fail(self, status: HTTPStatus, reason: str) -> None:
+        self._log_end('query_failed', status, reason)
+        self._answer.give(refusal(status, reason))
+        self._release(is_slow=True)
+
+    def _release(self, *, is_slow: bool) -> None:
+        self._sender.stop_timer()
+        for shard in self._shards:
+            for attempt in shard.out:
+                self._sender.give_up(attempt, is_slow=is_slow)
+            shard.out.clear()
+
+    def _log_end(
+        self, kind: str, status: HTTPStatus, reason: str = ''
+    ) -> None:
+        self._tools.log.event(
+            kind,
+            request=self._request.log_id,
+            route=self._route.name,
+            status=status.value,
+            reason=reason,
+            parts=self._parts,
+            shards=len(self._shards),
+            least_parts=self._gather.least_parts,
+            lacking=[
+                shard.service for shard in self._shards if not shard.part
+            ],
+            waited_ms=round(
+                self._tools.now_ms() - self._request.arrived_ms, 1
+            ),
+        )
+
+
+def _outcome(ending: Ending) -> str:
+    if isinstance(ending, Reply):
+        return '{0}{1}'.format(ending.status, '' if ending.ran else ' not run')
+    return ending.value
--- /dev/null
+++ b/src/dandelionstage/gateway/pacing.py
@@ -0,0 +1,83 @@
+"""When to ask a second server and when to answer with what is there."""
+
+from dataclasses import dataclass
+from typing import Final, final
+
+from ..catalog.routes import Route
+from .requests import CallerRequest
+
+__all__ = ('Pace', 'Pacing', 'pace_of')
+
+#: Most answers come within this quantile; the rest is worth a hedge.
+HEDGE_QUANTILE: Final = 0.9
+#: A hedge is sent after this part of the time to the target at the latest,
+#: so that it can still be answered in time.
+_LATEST_HEDGE_FRACTION: Final = 0.45
+#: ... and not before most servers would have answered.
+_LEAST_HEDGE_MS: Final = 3.0
+#: A single answer may take as long as its work; hedging it is dearer.
+_TARGET_LEAST_FRACTION: Final = 0.5
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class Pacing:
+    """Times that lie outside this VM.
+
+    :ivar kept_margin_ms: from the caller to here and back on a connection
+        that is open, and the time to write the answer.
+    :ivar new_margin_ms: the same with a new connection.
+    :ivar end_margin_ms: kept before a deadline or timeout, so that the final
+        answer is there in time.
+    """
+
+    kept_margin_ms: float = 9
+    new_margin_ms: float = 15
+    end_margin_ms: float = 15
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class Pace:
+    """Points in time, by the steady clock.
+
+    :ivar answer_ms: until then waiting for more parts costs nothing.
+    :ivar end_ms: the final answer is due.
+    :ivar deadline_ms: what servers are told.
+    """
+
+    hedge_ms: float
+    answer_ms: float
+    end_ms: float
+    deadline_ms: float
+
+
+def pace_of(
+    request: CallerRequest,
+    route: Route,
+    high_ms: float | None,
+    pacing: Pacing,
+) -> Pace:
+    """Set the times of one request.
+
+    :param high_ms: a high quantile of this route's answer times, ``None``
+        while unknown.
+    """
+    margin_ms = (
+        pacing.kept_margin_ms if request.is_kept else pacing.new_margin_ms
+    )
+    patience_ms = max(
+        route.target_ms * _TARGET_LEAST_FRACTION,
+        route.target_ms - margin_ms,
+    )
+    longest_ms = min(request.time_left_ms, route.timeout_ms)
+    latest_hedge_ms = patience_ms * _LATEST_HEDGE_FRACTION
+    hedge_ms = latest_hedge_ms if high_ms is None else high_ms
+    arrived_ms = request.arrived_ms
+    return Pace(
+        hedge_ms=arrived_ms
+        + max(_LEAST_HEDGE_MS, min(hedge_ms, latest_hedge_ms)),
+        answer_ms=arrived_ms + min(patience_ms, longest_ms),
+        end_ms=arrived_ms + max(1, longest_ms - pacing.end_margin_ms),
+        deadline_ms=arrived_ms + longest_ms,
+    )
--- /dev/null
+++ b/src/dandelionstage/gateway/tools.py
@@ -0,0 +1,97 @@
+"""What every request in progress needs from its VM."""
+
+from collections import OrderedDict
+from collections.abc import Callable
+from dataclasses import dataclass
+from random import Random
+from typing import Any, Final, Protocol, final
+
+from ..catalog.servers import ServerId
+from ..operations.events import EventLog
+from ..placing.extra_budget import ExtraBudgets
+from ..placing.replicas import Replica, Replicas
+from ..retries.time_window import TimeWindow
+from .attempt import Attempt
+from .reply_reader import HeaderNames
+
+__all__ = ('Pool', 'RouteTimes', 'RunTools', 'Timer')
+
+#: Routes whose answer times are kept, and times kept of each.
+_ROUTES_KEPT: Final = 128
+_TIMES_KEPT: Final = 128
+#: Assumed of a route that was never asked.
+_UNKNOWN_MS: Final = 15.0
+_MEDIAN: Final = 0.5
+
+
+class Pool(Protocol):
+    """Sends attempts to one server."""
+
+    @property
+    def load(self) -> int:
+        """Attempts that wait or are out."""
+
+    def submit(self, attempt: Attempt) -> None:
+        """Send an attempt as soon as possible."""
+
+    def abandon(self, attempt: Attempt) -> None:
+        """Lose interest in an attempt."""
+
+    def retire(self) -> None:
+        """Send nothing more."""
+
+
+class Timer(Protocol):
+    """Something that is due later."""
+
+    def cancel(self) -> None:
+        """Have it not happen."""
+
+
+@final
+class RouteTimes:
+    """How long servers usually take to answer requests of a route."""
+
+    def __init__(self) -> None:
+        """Start without any answer seen."""
+        self._windows: OrderedDict[str, TimeWindow] = OrderedDict()
+
+    def add(self, route: str, elapsed_ms: float) -> None:
+        """Take in the time of one answer."""
+        window = self._windows.get(route)
+        if window is None:
+            window = self._windows.setdefault(route, TimeWindow(_TIMES_KEPT))
+            if len(self._windows) > _ROUTES_KEPT:
+                self._windows.popitem(last=False)
+        window.add(elapsed_ms)
+
+    def usual_ms(self, route: str) -> float:
+        """Return the median, or a guess with too few answers."""
+        return self.quantile_ms(route, _MEDIAN) or _UNKNOWN_MS
+
+    def quantile_ms(self, route: str, quantile: float) -> float | None:
+        """Return a quantile, ``None`` with too few answers."""
+        window = self._windows.get(route)
+        return window.quantile_ms(quantile) if window else None
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class RunTools:
+    """Clock, random numbers, servers and budgets.
+
+    :ivar call_later: runs something after so many milliseconds.
+    """
+
+    replicas: Replicas[Any]
+    budgets: ExtraBudgets
+    times: RouteTimes
+    names: HeaderNames
+    log: EventLog
+    now_ms: Callable[[], float]
+    call_later: Callable[[float, Callable[[], None]], Timer]
+    random: Random
+
+    def replica_of(self, server: ServerId) -> Replica[Any] | None:
+        """Return a server that is still in use."""
+        return self.replicas.replica(server)
--- /dev/null
+++ b/src/dandelionstage/placing/replicas.py
@@ -0,0 +1,150 @@
+"""The replicas of each service and the choice between them."""
+
+from collections.abc import Callable, Collection, Iterator
+from random import Random
+from typing import Final, Generic, Protocol, TypeVar, final
+
+from ..catalog.routes import ServiceId
+from ..catalog.servers import ServerId, ServerRecord, ServerState
+from .slowness import Slowness
+
+__all__ = ('Replica', 'Replicas', 'SendsTo')
+
+#: How much slower a server in another data centre may count as; bytes
+#: between data centres cost money, and the way is longer.
+_REMOTE_FACTOR: Final = 1.15
+#: A server that has just started and says so.
+_COLD_FACTOR: Final = 1.6
+
+
+class SendsTo(Protocol):
+    """Holds the connections to one server."""
+
+    @property
+    def load(self) -> int:
+        """Attempts of this VM that wait for the server or are out at it."""
+
+    def retire(self) -> None:
+        """Send nothing more."""
+
+
+Pool = TypeVar('Pool', bound=SendsTo)
+
+
+@final
+class Replica(Generic[Pool]):
+    """A server as this VM sees it.
+
+    :ivar pool: its connections.
+    """
+
+    __slots__ = ('cold_until_ms', 'is_remote', 'pool', 'record', 'slowness')
+
+    def __init__(self, record: ServerRecord, pool: Pool, *, is_remote: bool):
+        """Start with a server nothing is known of."""
+        self.record = record
+        self.pool = pool
+        self.is_remote = is_remote
+        self.slowness = Slowness()
+        self.cold_until_ms: float = 0
+
+    def cost(self, now_ms: float) -> float:
+        """Estimate the time of one more request; lower is better."""
+        cost = (self.pool.load + 1) * self.slowness.ratio(now_ms)
+        if self.is_remote:
+            cost *= _REMOTE_FACTOR
+        if now_ms < self.cold_until_ms:
+            cost *= _COLD_FACTOR
+        return cost
+
+
+@final
+class Replicas(Generic[Pool]):
+    """Every usable server by service, kept in step with the catalog."""
+
+    def __init__(
+        self,
+        data_centre: str,
+        make_pool: Callable[[ServerRecord], Pool],
+        random: Random,
+    ) -> None:
+        """Start without servers.
+
+        :param data_centre: where this VM stands.
+        """
+        self._data_centre = data_centre
+        self._make_pool = make_pool
+        self._random = random
+        self._by_server: dict[ServerId, Replica[Pool]] = {}
+        self._by_service: dict[ServiceId, list[Replica[Pool]]] = {}
+
+    def __iter__(self) -> Iterator[Replica[Pool]]:
+        """Go through all replicas."""
+        return iter(self._by_server.values())
+
+    def of(self, service: ServiceId) -> list[Replica[Pool]]:
+        """List the usable replicas of a service; not to be changed."""
+        return self._by_service.get(service, [])
+
+    def replica(self, server: ServerId) -> Replica[Pool] | None:
+        """Return a usable replica by its server."""
+        return self._by_server.get(server)
+
+    def keep(self, record: ServerRecord, now_ms: float) -> None:
+        """Take a server in, or out when it takes no new work."""
+        known = self._by_server.get(record.server)
+        if known is not None and _is_same_start(known.record, record):
+            known.record = record
+        else:
+            self.drop(record.server)
+            known = None
+        if record.state is not ServerState.LIVE:
+            self.drop(record.server)
+            return
+        if known is None:
+            known = self._add(record)
+        known.cold_until_ms = now_ms + record.warm_up_left_ms
+
+    def drop(self, server: ServerId) -> None:
+        """Send a server nothing more."""
+        replica = self._by_server.pop(server, None)
+        if replica is not None:
+            self._by_service[replica.record.service].remove(replica)
+            replica.pool.retire()
+
+    def choose(
+        self,
+        service: ServiceId,
+        avoid: Collection[ServerId],
+        now_ms: float,
+    ) -> Replica[Pool] | None:
+        """Choose the replica that should answer first; equals by lot."""
+        best: Replica[Pool] | None = None
+        least = float('inf')
+        for replica in self._by_service.get(service, ()):
+            if replica.record.server in avoid:
+                continue
+            # Up to a hundredth: breaks ties, decides nothing else.
+            cost = replica.cost(now_ms) * (1 + self._random.random() / 100)
+            if cost < least:
+                best, least = replica, cost
+        return best
+
+    def _add(self, record: ServerRecord) -> Replica[Pool]:
+        replica = Replica(
+            record,
+            self._make_pool(record),
+            is_remote=record.data_centre != self._data_centre,
+        )
+        self._by_server[record.server] = replica
+        self._by_service.setdefault(record.service, []).append(replica)
+        return replica
+
+
+def _is_same_start(known: ServerRecord, record: ServerRecord) -> bool:
+    return (known.service, known.host, known.port, known.born_ms) == (
+        record.service,
+        record.host,
+        record.port,
+        record.born_ms,
+    )
--- /dev/null
+++ b/src/dandelionstage/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Translates between the users' platform and the product."""
--- /dev/null
+++ b/src/dandelionstage/platform/names.py
@@ -0,0 +1,21 @@
+"""The platform's names for headers and paths."""
+
+from typing import Final
+
+from ..gateway.reply_reader import HeaderNames
+
+__all__ = ('HEADERS', 'KEY_PATH', 'RANGE_PATH', 'READY_TARGET', 'WATCH_PATH')
+
+HEADERS: Final = HeaderNames(
+    request_id=b'x-request-id',
+    time_left=b'x-request-deadline',
+    stamp=b'x-response-stamp',
+    target=b'x-target-instance',
+    not_run=b'x-not-executed',
+    parts=b'x-part-stamps',
+    missing=b'x-missing-parts',
+)
+READY_TARGET: Final = b'/api/ready'
+KEY_PATH: Final = '/api/kv-key'
+RANGE_PATH: Final = '/api/kv-range'
+WATCH_PATH: Final = '/api/kv-watch'
--- /dev/null
+++ b/src/dandelionstage/platform/store_reader.py
@@ -0,0 +1,175 @@
+"""Follows the store while this VM is one of those that read it for all."""
+
+import asyncio
+from collections.abc import Callable
+from random import Random
+from typing import Final, final
+
+from ..catalog.catalog import Catalog, Item
+from ..catalog.lapses import Lapses
+from ..catalog.servers import StoreRevision
+from ..gateway.clock import now_ms
+from ..operations.events import EventLog
+from ..spread.members import Members
+from .store_client import HistoryGone, StoreClient, StoreUnavailable
+
+__all__ = ('StoreReader',)
+
+#: A watch that was lost in silence is noticed after this time at the latest.
+_WATCH_MS: Final = 5000
+#: Changes that come close together are fetched with one call.
+_GATHER_S: Final = 0.15
+#: How often a VM looks whether it is to read.
+_LOOK_S: Final = 0.2
+#: While the store fails, it is asked again after a random time up to this.
+_FIRST_BACKOFF_S: Final = 0.3
+_LONGEST_BACKOFF_S: Final = 1.5
+#: A VM that lost the store while others have it tries again after this.
+_HOPE_AGAIN_MS: Final = 8000.0
+
+
+@final
+class StoreReader:
+    """Reads everything once, then what changes."""
+
+    def __init__(
+        self,
+        client: StoreClient,
+        catalog: Catalog,
+        members: Members,
+        log: EventLog,
+        random: Random,
+    ) -> None:
+        """Prepare; nothing is read before :meth:`run`."""
+        self.on_news: Callable[[], None] = _nothing
+        self._client = client
+        self._catalog = catalog
+        self._members = members
+        self._log = log
+        self._random = random
+        self._lapses = Lapses()
+        self._is_reading = False
+        self._must_read_all = False
+        self._failures = 0
+        self._lost_ms: float = 0
+        self._position = StoreRevision(0)
+
+    async def run(self, settle_s: float) -> None:
+        """Read whenever this VM is to, until cancelled.
+
+        :param settle_s: time at the start to hear from other VMs first.
+        """
+        await asyncio.sleep(settle_s)
+        while True:
+            if self._members.is_reader(now_ms()):
+                self._note_role(is_reading=True)
+                await self._read_once()
+            else:
+                self._note_role(is_reading=False)
+                self._hope_again()
+                await asyncio.sleep(_LOOK_S)
+
+    async def _read_once(self) -> None:
+        try:
+            await self._follow()
+        except HistoryGone:
+            self._log.event('store_history_gone', as_of=self._catalog.as_of)
+            self._must_read_all = True
+        except StoreUnavailable as fault:
+            await self._back_off(str(fault))
+
+    async def _follow(self) -> None:
+        if self._must_read_all or not self._catalog.as_of:
+            await self._read_all()
+            self._must_read_all = False
+        after = max(self._catalog.as_of, self._position)
+        watched = await self._client.watch(after, self._wait_ms())
+        self._note_return()
+        self._take(watched.items, watched.as_of)
+        if watched.items:
+            await asyncio.sleep(_GATHER_S)
+
+    async def _read_all(self) -> None:
+        """Read every item; what is no longer there was removed."""
+        is_first = not self._catalog.as_of
+        pages = await self._client.read_all(may_be_old=is_first)
+        self._note_return()
+        items = [item for page in pages for item in page.items]
+        # Later pages may be newer; the first page's revision is surely
+        # covered by all of them.
+        as_of = pages[0].as_of
+        if as_of >= self._catalog.as_of:
+            missing = self._catalog.keys_missing_from(
+                item.key for item in items
+            )
+            items += [Item(key, as_of, None) for key in missing]
+        self._log.event('store_read', as_of=as_of, items=len(items))
+        self._take(items, as_of)
+
+    def _take(self, items: list[Item], as_of: StoreRevision) -> None:
+        at_ms = now_ms()
+        certain = self._lapses.admit(items, at_ms)
+        certain += self._lapses.due(at_ms)
+        self._position = max(self._position, as_of)
+        # Others learn of a removal held back when it is certain, so until
+        # then this VM does not claim to know what lies beyond.
+        known = self._lapses.known_up_to(self._position)
+        taken = self._catalog.take(certain, known)
+        if taken:
+            routes = self._catalog.routes
+            self._log.event(
+                'catalog_read',
+                as_of=as_of,
+                changed=taken,
+                held_back=len(self._lapses),
+                routes_version=routes.version if routes else None,
+                servers=len(self._catalog.servers),
+            )
+            self.on_news()
+
+    def _wait_ms(self) -> int:
+        due_ms = self._lapses.next_due_ms()
+        if due_ms is None:
+            return _WATCH_MS
+        return max(1, min(_WATCH_MS, int(due_ms - now_ms()) + 1))
+
+    async def _back_off(self, fault: str) -> None:
+        if not self._failures:
+            self._log.event(
+                'store_lost', fault=fault, as_of=self._catalog.as_of
+            )
+        self._members.has_store = False
+        ceiling_s = min(
+            _LONGEST_BACKOFF_S, _FIRST_BACKOFF_S * 2**self._failures
+        )
+        self._failures += 1
+        self._lost_ms = now_ms()
+        await asyncio.sleep(self._random.uniform(ceiling_s / 2, ceiling_s))
+
+    def _hope_again(self) -> None:
+        """Offer to read again some time after the store was lost."""
+        lost_for_ms = now_ms() - self._lost_ms
+        if not self._members.has_store and lost_for_ms > _HOPE_AGAIN_MS:
+            self._members.has_store = True
+
+    def _note_return(self) -> None:
+        if self._failures:
+            self._failures = 0
+            self._members.has_store = True
+            self._lapses.store_returned(now_ms())
+            self._log.event('store_regained', as_of=self._catalog.as_of)
+
+    def _note_role(self, *, is_reading: bool) -> None:
+        if is_reading is not self._is_reading:
+            self._is_reading = is_reading
+            self._log.event(
+                'reads_store' if is_reading else 'reads_store_no_more',
+                as_of=self._catalog.as_of,
+                members=len(self._members),
+            )
+            if not is_reading:
+                self._client.close()
+
+
+def _nothing() -> None:
+    """Tell nobody."""
--- a/src/dandelionstage/retries/hedging.py
+++ b/src/dandelionstage/retries/hedging.py
@@ -1,18 +1,15 @@
 """Says how long to wait for a shard before a hedge is worth its load."""
 
-from bisect import insort
-from collections import deque
 from typing import Final, final
 
 from ..model.ids import ShardId, WorkloadId
+from .time_window import TimeWindow
 
 __all__ = ('HedgeDelays',)
 
 #: Answer times kept for one shard, and for one workload.
 _SHARD_SAMPLES: Final = 64
 _WORKLOAD_SAMPLES: Final = 512
-#: Fewer than this say nothing of a tail.
-_ENOUGH_SAMPLES: Final = 8
 _SHARD_QUANTILE: Final = 0.95
 #: Low enough that a few slow shards do not set the workload's figure.
 _WORKLOAD_QUANTILE: Final = 0.9
@@ -23,30 +20,6 @@
 _LEAST_MS: Final = 1
 
 
-@final
-class _Window:
-    """The last answer times in order of arrival and of size."""
-
-    def __init__(self, size: int) -> None:
-        self._arrived: deque[float] = deque()
-        self._sorted: list[float] = []
-        self._size = size
-
-    def add(self, elapsed_ms: float) -> None:
-        """Take in one answer time, dropping the oldest when full."""
-        if len(self._arrived) >= self._size:
-            self._sorted.remove(self._arrived.popleft())
-        self._arrived.append(elapsed_ms)
-        insort(self._sorted, elapsed_ms)
-
-    def quantile_ms(self, quantile: float) -> float | None:
-        """Return a quantile, ``None`` with too few samples."""
-        count = len(self._sorted)
-        if count < _ENOUGH_SAMPLES:
-            return None
-        return self._sorted[int(count * quantile)]
-
-
 @final
 class HedgeDelays:
     """The time by which 95 of 100 answers of a shard have come.
@@ -59,8 +32,8 @@
 
     def __init__(self) -> None:
         """Start without any answer seen."""
-        self._shards: dict[tuple[WorkloadId, ShardId], _Window] = {}
-        self._workloads: dict[WorkloadId, _Window] = {}
+        self._shards: dict[tuple[WorkloadId, ShardId], TimeWindow] = {}
+        self._workloads: dict[WorkloadId, TimeWindow] = {}
 
     def observe(
         self,
@@ -72,11 +45,11 @@
         key = (workload, shard)
         window = self._shards.get(key)
         if window is None:
-            window = self._shards.setdefault(key, _Window(_SHARD_SAMPLES))
+            window = self._shards.setdefault(key, TimeWindow(_SHARD_SAMPLES))
         window.add(elapsed_ms)
         whole = self._workloads.get(workload)
         if whole is None:
-            whole = _Window(_WORKLOAD_SAMPLES)
+            whole = TimeWindow(_WORKLOAD_SAMPLES)
             self._workloads[workload] = whole
         whole.add(elapsed_ms)
 
--- a/src/dandelionstage/routing/ownership.py
+++ b/src/dandelionstage/routing/ownership.py
@@ -4,12 +4,11 @@
 from functools import lru_cache
 from typing import Final, final
 
-import xxhash
-
 from ..model.ids import VmId
 from ..model.messages import OwnerKey
+from .rendezvous import rank_vms
 
-__all__ = ('OwnerRanking', 'rank_owners', 'rank_vms')
+__all__ = ('OwnerRanking', 'rank_owners')
 
 #: Published lists and owner keys whose ranking is kept.
 _CACHED_RANKINGS: Final = 65_536
@@ -25,18 +24,6 @@
     return rank_vms(_name_of(owner_key), vms)
 
 
-def rank_vms(name: str, vms: Sequence[VmId]) -> tuple[VmId, ...]:
-    """Order VMs for a name by rendezvous hashing.
-
-    Source: Thaler and Ravishankar, "Using name-based mappings to increase
-    hit rates", 1998.
-    """
-    prefix = xxhash.xxh3_64_intdigest(name.encode())
-    return tuple(
-        sorted(vms, key=lambda vm: (_weigh(prefix, vm), vm), reverse=True)
-    )
-
-
 @final
 class OwnerRanking:
     """Remembers the first owners of each key while its list stands.
@@ -66,7 +53,3 @@
     return '\0'.join(
         (owner_key.workload, owner_key.shard, owner_key.data_centre)
     )
-
-
-def _weigh(prefix: int, vm: VmId) -> int:
-    return xxhash.xxh3_64_intdigest(vm.encode(), seed=prefix)
--- /dev/null
+++ b/src/dandelionstage/spread/members.py
@@ -0,0 +1,148 @@
+"""Which VMs there are, and which of them read the store for all."""
+
+import math
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass
+from random import Random
+from typing import Final, NewType, final
+
+from ..model.ids import VmId
+from ..routing.rendezvous import rank_vms
+
+__all__ = ('Address', 'Members', 'Sighting')
+
+#: Where a VM is reached by the others; also its name among them.
+Address = NewType('Address', VmId)
+
+#: A VM that nobody has heard from for this long is passed over.
+_ALIVE_MS: Final = 2000.0
+#: News takes longer to go round a larger fleet; each doubling above this
+#: size adds a round.
+_SMALL_FLEET: Final = 32
+_ROUND_MS: Final = 400.0
+#: A VM that is gone for good still counts for shares of fleet-wide limits
+#: for this long: it may only be cut off from here.
+_COUNTED_MS: Final = 600_000.0
+#: VMs that read at the same time, in two data centres if there are two, so
+#: that none has to notice the loss of the other in time.
+_READERS: Final = 2
+_READERS_NAME: Final = 'store readers'
+
+
+@final
+@dataclass(slots=True)
+class Sighting:
+    """When somebody last heard from a VM.
+
+    :ivar heard_ms: by this VM's steady clock.
+    :ivar has_store: whether the VM reached the store when it last said.
+    """
+
+    data_centre: str
+    heard_ms: float
+    has_store: bool
+
+
+@final
+class Members:
+    """A table of VMs with the age of what is known of each.
+
+    Ages instead of times or counters need no agreement on a clock and no
+    memory over a restart: whatever the way of the news, the smallest age
+    is the best evidence.
+    """
+
+    def __init__(self, own: Address, data_centre: str) -> None:
+        """Know of this VM only."""
+        self._own = own
+        self._data_centre = data_centre
+        self._seen: dict[Address, Sighting] = {}
+        self.has_store = True
+
+    def __len__(self) -> int:
+        """Count every VM that may exist, this one included."""
+        return len(self._seen) + 1
+
+    def hear(
+        self,
+        vm: Address,
+        data_centre: str,
+        heard_ms: float,
+        *,
+        has_store: bool,
+    ) -> bool:
+        """Take in evidence of a VM; tell whether the VM was unknown."""
+        if vm == self._own:
+            return False
+        known = self._seen.get(vm)
+        if known is None:
+            self._seen[vm] = Sighting(data_centre, heard_ms, has_store)
+            return True
+        if heard_ms > known.heard_ms:
+            known.heard_ms = heard_ms
+            known.has_store = has_store
+        return False
+
+    def leave(self, vm: Address) -> None:
+        """Take in that a VM is stopping: it reads no more."""
+        known = self._seen.get(vm)
+        if known is not None:
+            known.has_store = False
+
+    def forget(self, now_ms: float) -> None:
+        """Drop VMs that were gone for so long that they do not come back."""
+        gone = [
+            vm
+            for vm, seen in self._seen.items()
+            if now_ms - seen.heard_ms > _COUNTED_MS
+        ]
+        for vm in gone:
+            self._seen.pop(vm)
+
+    def alive(self, now_ms: float) -> list[Address]:
+        """List the other VMs that were heard from lately."""
+        oldest_ms = now_ms - self._patience_ms()
+        return [
+            vm for vm, seen in self._seen.items() if seen.heard_ms >= oldest_ms
+        ]
+
+    def sample(
+        self, count: int, random: Random
+    ) -> Iterator[tuple[Address, Sighting]]:
+        """Draw known VMs to tell others of."""
+        drawn = random.sample(list(self._seen), min(count, len(self._seen)))
+        for vm in drawn:
+            yield vm, self._seen[vm]
+
+    def is_reader(self, now_ms: float) -> bool:
+        """Whether this VM is among those that read the store."""
+        return self._own in self.readers(now_ms)
+
+    def readers(self, now_ms: float) -> list[Address]:
+        """List the VMs that read, as seen from here."""
+        ranked = self._rank(now_ms)
+        chosen = ranked[:1]
+        others = [vm for vm in ranked[1:] if not self._is_near(vm, chosen)]
+        rest = [vm for vm in ranked[1:] if vm not in others]
+        return (chosen + others + rest)[:_READERS]
+
+    def _rank(self, now_ms: float) -> list[Address]:
+        """Order the VMs that may read, the same from everywhere."""
+        alive = self.alive(now_ms)
+        able = [vm for vm in alive if self._seen[vm].has_store]
+        if self.has_store:
+            able.append(self._own)
+        # When nobody has the store, the first in order go on trying.
+        candidates = able or [*alive, self._own]
+        return [Address(vm) for vm in rank_vms(_READERS_NAME, candidates)]
+
+    def _is_near(self, vm: Address, chosen: Iterable[Address]) -> bool:
+        return any(self._place(vm) == self._place(each) for each in chosen)
+
+    def _place(self, vm: Address) -> str:
+        seen = self._seen.get(vm)
+        return self._data_centre if seen is None else seen.data_centre
+
+    def _patience_ms(self) -> float:
+        doublings = math.log2(max(1, len(self) / _SMALL_FLEET))
+        return _ALIVE_MS + doublings * _ROUND_MS
