A server that closes in order ends its connection at once

Cause: an end of stream that came while a connection was idle settled the connection a second time, so the next attempt on it was forgotten. Ruled out: leaks in the pool's bookkeeping (traced by log).

--- a/src/dandelionstage/gateway/server_link.py
+++ b/src/dandelionstage/gateway/server_link.py
@@ -108,10 +108,12 @@
             self.close()
 
     def eof_received(self) -> None:
-        """Take in that the server closed in order."""
-        self._reader.end()
+        """Take in that the server closed in order; nothing more is sent."""
+        if self.state is LinkState.BUSY:
+            self._reader.end()
         if self._replied:
-            self._settle()
+            self.attempt = None
+        self.close()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Lose what was still waiting."""
