Under overload servers work only on what is still in time

Cause: sub-requests carried the caller's whole deadline, so queues of half a second grew at slow servers and every query came late; each query asked all overloaded shards though it needs only some. Change: sub-requests end at the target, what an answer lacks is asked again afterwards; of overloaded shards each query asks as many as it needs; queries that lack too many unreachable shards are refused before anything runs; a VM that starts takes its first state from whoever has it.

--- a/src/dandelionstage/gateway/gateway.py
+++ b/src/dandelionstage/gateway/gateway.py
@@ -5,6 +5,8 @@
 from typing import Final, final
 
 from ..catalog.catalog import Catalog
+from ..catalog.routes import Gather
+from ..placing.shard_choice import unreachable_shards
 from .gather_run import GatherRun
 from .pacing import HEDGE_QUANTILE, Pacing, pace_of
 from .requests import Answer, CallerRequest, refusal
@@ -14,9 +16,11 @@
 __all__ = ('Gateway',)
 
 #: A VM that has just started knows the routes within about this time.
-_START_RETRY_AFTER_MS: Final = 500.0
+_START_RETRY_AFTER_MS: Final = 400.0
 #: Less time than this is not enough to ask any server.
 _LEAST_LEFT_MS: Final = 2.0
+#: While too few shards can be reached, one query in this time is let through.
+_HOPELESS_PROBE_MS: Final = 700.0
 
 
 @final
@@ -30,6 +34,7 @@
         self._catalog = catalog
         self._tools = tools
         self._pacing = pacing
+        self._probed_ms = float('-inf')
 
     def handle(
         self,
@@ -59,11 +64,36 @@
                 'too little time left',
             )
             return
+        if route.gather and self._is_hopeless(route.gather):
+            again_ms = self._tools.random.uniform(
+                _HOPELESS_PROBE_MS, 2 * _HOPELESS_PROBE_MS
+            )
+            self._refuse(
+                request,
+                give,
+                HTTPStatus.SERVICE_UNAVAILABLE,
+                'too few shards can be reached',
+                again_ms,
+            )
+            return
         high_ms = self._tools.times.quantile_ms(route.name, HEDGE_QUANTILE)
         pace = pace_of(request, route, high_ms, self._pacing)
         run = GatherRun if route.gather else SingleRun
         run(request, route, pace, self._tools, give).start()
 
+    def _is_hopeless(self, gather: Gather) -> bool:
+        """Whether no answer is possible, as far as is known.
+
+        Now and then a query is let through to find out.
+        """
+        now_ms = self._tools.now_ms()
+        if not unreachable_shards(gather, self._tools.replicas, now_ms):
+            return False
+        if now_ms - self._probed_ms >= _HOPELESS_PROBE_MS:
+            self._probed_ms = now_ms
+            return False
+        return True
+
     def _refuse(
         self,
         request: CallerRequest,
--- a/src/dandelionstage/gateway/gather_run.py
+++ b/src/dandelionstage/gateway/gather_run.py
@@ -6,6 +6,12 @@
 
 from ..catalog.routes import Gather, Route, ServiceId
 from ..catalog.servers import ServerId
+from ..placing.shard_choice import (
+    is_skipped,
+    skipped_shards,
+    unreachable_shards,
+)
+from ..retries.backoff import backoff_ms
 from .attempt import Attempt, Ending, Reply
 from .pacing import Pace
 from .records import greatest_records
@@ -15,6 +21,12 @@
 
 __all__ = ('GatherRun',)
 
+#: With less time than this left of an attempt, its end is due to the time.
+_RETRY_LEAST_MS: Final = 8.0
+#: Shards asked after the target beyond those needed, as one may fail.
+_SPARE_SHARDS: Final = 1
+#: The first wait after the target is random up to 64 ms, the next longer.
+_BACKOFF_START: Final = 4
 _OCTETS: Final = (b'content-type', b'application/octet-stream')
 
 
@@ -36,8 +48,11 @@
     """Asks one server of each shard and answers with the greatest records.
 
     Until the target nothing is lost by waiting, so an incomplete answer is
-    given at the target and not before, unless the rest cannot come.  After
-    it the answer is given as soon as it is complete enough.
+    given at the target and not before, unless the rest cannot come.  Servers
+    are told to stop at the target: what a full server can still answer in
+    time then gets its slots, and no queue grows behind what comes too late.
+    After the target the shards without which there is no answer are asked
+    again, and the answer is given as soon as it is complete enough.
     """
 
     def __init__(
@@ -56,23 +71,28 @@
         self._pace = pace
         self._tools = tools
         self._answer = FirstAnswer(give)
-        self._sender = Sender(request, route, pace, tools)
+        self._sender = Sender(request, route, tools)
         self._shards = [_Shard(shard) for shard in self._gather.shards]
-        self._open = len(self._shards)
+        self._out = 0
         self._parts = 0
         self._is_late = False
-        self._in_start = True
+        self._late_rounds = 0
+        self._is_deciding = False
 
     def start(self) -> None:
         """Ask every shard once."""
         self._request.on_gone = self.cancel
         now_ms = self._tools.now_ms()
+        self._is_deciding = True
+        skipped = skipped_shards(
+            self._gather, self._tools.replicas, now_ms, self._tools.random
+        )
         for shard in self._shards:
             self._tools.budgets.earn(shard.service, now_ms)
-            if not self._ask(shard):
-                self._close(shard)
-        self._in_start = False
+            if shard.service in skipped or not self._ask(shard):
+                self._note_left_out(shard)
         self._sender.call_at(self._pace.hedge_ms, self._hedge)
+        self._is_deciding = False
         self._decide()
 
     def cancel(self) -> None:
@@ -88,16 +108,25 @@
         self._release(is_slow=False)
 
     def _ask(self, shard: _Shard) -> bool:
+        """Send to a server of a shard, to a new one while that is allowed."""
+        may_be_new = len(shard.tried) < self._route.attempts
         replica = self._tools.replicas.choose(
-            shard.service, shard.tried, self._tools.now_ms()
+            shard.service,
+            self._tools.now_ms(),
+            avoid=shard.tried if may_be_new else (),
+            among=None if may_be_new else shard.tried,
         )
         if replica is None:
             return False
-        shard.tried.append(replica.record.server)
+        if replica.record.server not in shard.tried:
+            shard.tried.append(replica.record.server)
         attempt = self._sender.send(
-            replica, lambda ended, ending: self._end(shard, ended, ending)
+            replica,
+            lambda ended, ending: self._end(shard, ended, ending),
+            self._pace.deadline_ms if self._is_late else self._pace.answer_ms,
         )
         if not attempt.ended:
+            self._out += not shard.out
             shard.out.append(attempt)
         return True
 
@@ -105,21 +134,25 @@
         self._sender.learn(attempt, ending)
         if attempt in shard.out:
             shard.out.remove(attempt)
+            self._out -= not shard.out
         if is_good(ending) and isinstance(ending, Reply):
             self._take_part(shard, ending)
-        else:
+        elif not self._is_in_vain(attempt):
             self._retry(shard, attempt, ending)
-        if not self._in_start:
-            self._decide()
+        self._decide()
 
     def _take_part(self, shard: _Shard, reply: Reply) -> None:
         shard.part = reply
         self._parts += 1
-        self._open -= 1
+        self._out -= bool(shard.out)
         for slower in shard.out:
             self._sender.give_up(slower, is_slow=True)
         shard.out.clear()
 
+    def _is_in_vain(self, attempt: Attempt) -> bool:
+        """Whether an attempt ended because its time was over."""
+        return self._tools.now_ms() >= attempt.deadline_ms - _RETRY_LEAST_MS
+
     def _retry(self, shard: _Shard, attempt: Attempt, ending: Ending) -> None:
         """Ask another server of the shard after a failure."""
         self._tools.log.event(
@@ -130,19 +163,16 @@
             outcome=_outcome(ending),
             waited_ms=round(self._tools.now_ms() - attempt.started_ms, 1),
         )
-        if shard.out:
+        if shard.out or len(shard.tried) >= self._route.attempts:
             return
         # What never left this VM is no extra load on any server.
         is_free = attempt.sent_ms is None
-        may_ask = len(shard.tried) < self._route.attempts and (
-            is_free or self._sender.take_extra(shard.service, 'retry')
-        )
-        if not (may_ask and self._ask(shard)):
-            self._close(shard)
+        if is_free or self._sender.take_extra(shard.service, 'retry'):
+            if self._ask(shard):
+                return
+        self._note_left_out(shard)
 
-    def _close(self, shard: _Shard) -> None:
-        """Go on without a shard that cannot be had."""
-        self._open -= 1
+    def _note_left_out(self, shard: _Shard) -> None:
         self._tools.log.event(
             'shard_left_out',
             request=self._request.log_id,
@@ -162,8 +192,10 @@
         now_ms = self._tools.now_ms()
         self._sender.note_slow(shard.out[0])
         first = self._tools.replica_of(shard.out[0].server)
-        other = self._tools.replicas.choose(shard.service, shard.tried, now_ms)
-        if other is None:
+        other = self._tools.replicas.choose(
+            shard.service, now_ms, avoid=shard.tried
+        )
+        if other is None or is_skipped(other, now_ms, self._tools.random):
             return
         # A server that is worse still would not answer sooner.
         is_better = first is None or other.cost(now_ms) <= first.cost(now_ms)
@@ -171,20 +203,56 @@
             self._ask(shard)
 
     def _reach_target(self) -> None:
+        """Answer if that is possible, else ask again for what is needed."""
         self._is_late = True
+        self._sender.call_at(self._pace.end_ms, self._run_out)
         self._decide()
         if self._answer.is_due:
-            self._sender.call_at(self._pace.end_ms, self._run_out)
+            self._ask_late()
+
+    def _ask_late(self) -> None:
+        """Ask again for as many shards as an answer lacks."""
+        self._late_rounds += 1
+        self._sender.call_at(self._pace.end_ms, self._run_out)
+        self._is_deciding = True
+        lacking = self._gather.least_parts - self._parts + _SPARE_SHARDS
+        for shard in self._shards:
+            if lacking <= 0:
+                break
+            if shard.part is None:
+                for overdue in shard.out:
+                    self._sender.give_up(overdue, is_slow=True)
+                self._out -= bool(shard.out)
+                shard.out.clear()
+                if self._sender.take_extra(shard.service, 'late_retry'):
+                    lacking -= self._ask(shard)
+        self._is_deciding = False
+        self._decide()
 
     def _decide(self) -> None:
         """Answer once waiting longer is of no use to the caller."""
-        if not self._answer.is_due:
+        if self._is_deciding or not self._answer.is_due:
             return
         is_enough = self._parts >= self._gather.least_parts
-        if is_enough and (self._is_late or not self._open):
+        if is_enough and (self._is_late or not self._out):
             self._succeed()
-        elif self._parts + self._open < self._gather.least_parts:
+        elif not is_enough and not self._out:
+            self._come_to_nothing()
+
+    def _come_to_nothing(self) -> None:
+        """Ask again a little later, while there is time and hope."""
+        if not self._is_late:
+            self._reach_target()
+            return
+        now_ms = self._tools.now_ms()
+        again_ms = now_ms + backoff_ms(
+            _BACKOFF_START + self._late_rounds, 0, self._tools.random
+        )
+        hopeless = unreachable_shards(self._gather, self._tools.replicas, now_ms)
+        if again_ms >= self._pace.end_ms or hopeless:
             self._fail(HTTPStatus.BAD_GATEWAY, 'too few shards answer')
+        else:
+            self._sender.call_at(again_ms, self._ask_late)
 
     def _run_out(self) -> None:
         self._fail(HTTPStatus.GATEWAY_TIMEOUT, 'too few shards in time')
@@ -224,6 +292,7 @@
             for attempt in shard.out:
                 self._sender.give_up(attempt, is_slow=is_slow)
             shard.out.clear()
+        self._out = 0
 
     def _log_end(self, kind: str, status: HTTPStatus, reason: str = '') -> None:
         self._tools.log.event(
--- a/src/dandelionstage/gateway/run.py
+++ b/src/dandelionstage/gateway/run.py
@@ -8,7 +8,6 @@
 from ..catalog.servers import ServerId
 from ..placing.replicas import Replica
 from .attempt import Attempt, Ending, Loss, Reply
-from .pacing import Pace
 from .requests import Answer, CallerRequest, request_head
 from .tools import RunTools, Timer
 
@@ -17,6 +16,8 @@
 _SUCCESSES: Final = range(200, 300)
 #: A server that sheds is full; counted as this much slower than usual.
 _SHED_RATIO: Final = 5.0
+#: A failure this close to its deadline is due to the deadline.
+_OVER_MS: Final = 8.0
 #: Endings that say nothing of the server.
 _BLAMELESS: Final = frozenset((Loss.WITHDRAWN, Loss.EXPIRED))
 
@@ -70,13 +71,11 @@
         self,
         request: CallerRequest,
         route: Route,
-        pace: Pace,
         tools: RunTools,
     ) -> None:
         """Write the request once for all servers."""
         self._request = request
         self._route = route
-        self._pace = pace
         self._tools = tools
         self._head = request_head(request, tools.names)
         self._timer: Timer | None = None
@@ -85,8 +84,12 @@
         self,
         replica: Replica,  # type: ignore[type-arg]
         on_end: Callable[[Attempt, Ending], None],
+        deadline_ms: float,
     ) -> Attempt:
-        """Send to a server as soon as a connection is free."""
+        """Send to a server as soon as a connection is free.
+
+        :param deadline_ms: when the server is to stop working on it.
+        """
         server = replica.record.server
         attempt = Attempt(
             server,
@@ -94,7 +97,8 @@
             lambda left_ms: self._bytes_for(server, left_ms),
             on_end,
         )
-        attempt.deadline_ms = self._pace.deadline_ms
+        attempt.deadline_ms = deadline_ms
+        replica.throttle.send(self._tools.now_ms())
         replica.pool.submit(attempt)
         return attempt
 
@@ -104,6 +108,9 @@
         if replica is None or ending in _BLAMELESS:
             return
         now_ms = self._tools.now_ms()
+        if isinstance(ending, Reply):
+            replica.throttle.hear()
+        is_over = now_ms >= attempt.deadline_ms - _OVER_MS
         if is_misdirected(ending):
             self._tools.log.event(
                 'server_replaced',
@@ -111,9 +118,13 @@
                 server=attempt.server,
             )
             self._tools.replicas.drop(attempt.server)
+        elif isinstance(ending, Reply) and is_over and not is_good(ending):
+            # It stopped at the deadline that it was given.
+            self.note_slow(attempt)
         elif isinstance(ending, Reply) and not ending.ran:
             replica.slowness.observe_unfinished(_SHED_RATIO, now_ms)
         elif is_good(ending):
+            replica.throttle.answer(now_ms)
             elapsed_ms = now_ms - attempt.started_ms
             usual_ms = self._tools.times.usual_ms(self._route.name)
             replica.slowness.observe(elapsed_ms / usual_ms, now_ms)
--- a/src/dandelionstage/gateway/single_run.py
+++ b/src/dandelionstage/gateway/single_run.py
@@ -42,7 +42,7 @@
         self._pace = pace
         self._tools = tools
         self._answer = FirstAnswer(give)
-        self._sender = Sender(request, route, pace, tools)
+        self._sender = Sender(request, route, tools)
         self._service: ServiceId = route.draw_service(tools.random)
         self._tried: list[ServerId] = []
         self._out: list[Attempt] = []
@@ -79,12 +79,14 @@
 
     def _ask(self) -> bool:
         replica = self._tools.replicas.choose(
-            self._service, self._tried, self._tools.now_ms()
+            self._service, self._tools.now_ms(), self._tried
         )
         if replica is None:
             return False
         self._tried.append(replica.record.server)
-        attempt = self._sender.send(replica, self._end)
+        attempt = self._sender.send(
+            replica, self._end, self._pace.deadline_ms
+        )
         if not attempt.ended:
             self._out.append(attempt)
         return True
@@ -143,7 +145,7 @@
         if may_ask:
             self._sender.note_slow(self._out[0])
             has_other = self._tools.replicas.choose(
-                self._service, self._tried, self._tools.now_ms()
+                self._service, self._tools.now_ms(), self._tried
             )
             if has_other and self._sender.take_extra(self._service, 'hedge'):
                 self._ask()
--- a/src/dandelionstage/placing/replicas.py
+++ b/src/dandelionstage/placing/replicas.py
@@ -7,6 +7,7 @@
 from ..catalog.routes import ServiceId
 from ..catalog.servers import ServerId, ServerRecord, ServerState
 from .slowness import Slowness
+from .throttle import Throttle
 
 __all__ = ('Replica', 'Replicas', 'SendsTo')
 
@@ -39,7 +40,14 @@
     :ivar pool: its connections.
     """
 
-    __slots__ = ('cold_until_ms', 'is_remote', 'pool', 'record', 'slowness')
+    __slots__ = (
+        'cold_until_ms',
+        'is_remote',
+        'pool',
+        'record',
+        'slowness',
+        'throttle',
+    )
 
     def __init__(self, record: ServerRecord, pool: Pool, *, is_remote: bool):
         """Start with a server nothing is known of."""
@@ -47,6 +55,7 @@
         self.pool = pool
         self.is_remote = is_remote
         self.slowness = Slowness()
+        self.throttle = Throttle()
         self.cold_until_ms: float = 0
 
     def cost(self, now_ms: float) -> float:
@@ -116,14 +125,19 @@
     def choose(
         self,
         service: ServiceId,
-        avoid: Collection[ServerId],
         now_ms: float,
+        avoid: Collection[ServerId] = (),
+        among: Collection[ServerId] | None = None,
     ) -> Replica[Pool] | None:
-        """Choose the replica that should answer first; equals by lot."""
+        """Choose the replica that should answer first; equals by lot.
+
+        :param among: take none but these.
+        """
         best: Replica[Pool] | None = None
         least = float('inf')
         for replica in self._by_service.get(service, ()):
-            if replica.record.server in avoid:
+            server = replica.record.server
+            if server in avoid or (among is not None and server not in among):
                 continue
             # Up to a hundredth: breaks ties, decides nothing else.
             cost = replica.cost(now_ms) * (1 + self._random.random() / 100)
@@ -131,6 +145,13 @@
                 best, least = replica, cost
         return best
 
+    def is_silent(self, service: ServiceId, now_ms: float) -> bool:
+        """Whether no replica of a service seems reachable."""
+        return all(
+            replica.throttle.is_silent(now_ms)
+            for replica in self._by_service.get(service, ())
+        )
+
     def _add(self, record: ServerRecord) -> Replica[Pool]:
         replica = Replica(
             record,
--- /dev/null
+++ b/src/dandelionstage/placing/shard_choice.py
@@ -0,0 +1,61 @@
+"""Which shards of a query are better not asked when servers are overloaded."""
+
+from random import Random
+from typing import Any
+
+from ..catalog.routes import Gather, ServiceId
+from .replicas import Replica, Replicas
+
+__all__ = ('is_skipped', 'skipped_shards', 'unreachable_shards')
+
+
+def is_skipped(
+    replica: Replica[Any], now_ms: float, random: Random
+) -> bool:
+    """Draw whether a server is spared one request."""
+    return random.random() < replica.throttle.skip_probability(now_ms)
+
+
+def skipped_shards(
+    gather: Gather,
+    replicas: Replicas[Any],
+    now_ms: float,
+    random: Random,
+) -> frozenset[ServiceId]:
+    """Choose shards to leave out, never more than the answer can lack.
+
+    Where several shards can answer only a part of all queries in time, each
+    query asks as many of them as it needs: together they then serve more
+    queries than if each query asked them all.
+    """
+    may_lack = len(gather.shards) - gather.least_parts
+    overloaded: list[tuple[ServiceId, float]] = []
+    for shard in gather.shards:
+        best = replicas.choose(shard, now_ms)
+        if best is None:
+            may_lack -= 1
+        elif best.throttle.skip_probability(now_ms):
+            skip = best.throttle.skip_probability(now_ms)
+            overloaded.append((shard, skip))
+    if len(overloaded) <= may_lack:
+        # Whatever they answer in time only adds to the answer.
+        return frozenset()
+    random.shuffle(overloaded)
+    drawn = [shard for shard, skip in overloaded if random.random() < skip]
+    return frozenset(drawn[: max(0, may_lack)])
+
+
+def unreachable_shards(
+    gather: Gather, replicas: Replicas[Any], now_ms: float
+) -> tuple[ServiceId, ...]:
+    """List the shards that no server can be reached of.
+
+    :returns: nothing while an answer is possible without them.
+    """
+    silent = tuple(
+        shard
+        for shard in gather.shards
+        if replicas.is_silent(shard, now_ms)
+    )
+    may_lack = len(gather.shards) - gather.least_parts
+    return silent if len(silent) > may_lack else ()
--- a/src/dandelionstage/platform/node.py
+++ b/src/dandelionstage/platform/node.py
@@ -35,8 +35,6 @@
 
 __all__ = ('Node',)
 
-#: A VM that starts hears from the others within this time, if there are any.
-_SETTLE_S: Final = 1.0
 #: How often the settings file is looked at; it may change without a signal.
 _LOOK_S: Final = 2.0
 #: A watch is given up this long after it should have returned, and the next
@@ -114,7 +112,7 @@
             await self._stack.enter_async_context(owner)
         loop = asyncio.get_running_loop()
         self._tasks = [
-            loop.create_task(self._reader.run(_SETTLE_S)),
+            loop.create_task(self._reader.run()),
             loop.create_task(self._watch_settings()),
         ]
         self._log.event(
--- a/src/dandelionstage/platform/store_reader.py
+++ b/src/dandelionstage/platform/store_reader.py
@@ -1,6 +1,7 @@
 """Follows the store while this VM is one of those that read it for all."""
 
 import asyncio
+import contextlib
 from collections.abc import Callable
 from random import Random
 from typing import Final, final
@@ -20,6 +21,10 @@
 _FIRST_WATCH_MS: Final = 200
 #: Changes that come close together are fetched with one call.
 _GATHER_S: Final = 0.3
+#: A VM that starts hears from the others within this time, if there are any.
+_SETTLE_S: Final = 0.15
+#: Where nobody knows anything, the VMs read spread over this time.
+_FIRST_READ_SPREAD_S: Final = 0.2
 #: How often a VM looks whether it is to read.
 _LOOK_S: Final = 0.2
 #: While the store fails, it is asked again after a random time up to this.
@@ -61,12 +66,9 @@
         self._lost_ms: float = 0
         self._position = StoreRevision(0)
 
-    async def run(self, settle_s: float) -> None:
-        """Read whenever this VM is to, until cancelled.
-
-        :param settle_s: time at the start to hear from other VMs first.
-        """
-        await asyncio.sleep(settle_s)
+    async def run(self) -> None:
+        """Read whenever this VM is to, until cancelled."""
+        await self._settle()
         while True:
             if self._members.is_reader(now_ms()):
                 self._note_role(is_reading=True)
@@ -76,6 +78,20 @@
                 self._hope_again()
                 await asyncio.sleep(_LOOK_S)
 
+    async def _settle(self) -> None:
+        """Give other VMs some time to pass on what they know.
+
+        Where all start at once nobody knows anything; the first to read
+        passes it on, so each waits for another time.
+        """
+        await asyncio.sleep(_SETTLE_S)
+        if not self._catalog.as_of:
+            await asyncio.sleep(self._random.uniform(0, _FIRST_READ_SPREAD_S))
+        if not self._catalog.as_of:
+            with contextlib.suppress(StoreUnavailable):
+                await self._read_all()
+        await asyncio.sleep(_SETTLE_S)
+
     async def _read_once(self) -> None:
         try:
             await self._follow()
