--- a/src/dandelionstage/catalog/catalog.py
+++ b/src/dandelionstage/catalog/catalog.py
@@ -44,7 +44,7 @@
 
 
 @final
-class Catalog:
+class Catalog:  # noqa: WPS214 -- one table, short methods
     """Takes each item once, in any order, and never an older one.
 
     Two sources may offer the same items at different times, so each item's
@@ -139,7 +139,8 @@
             self._servers[change.server.server] = change.server
             for on_server in self.on_server:
                 on_server(change.server)
-        if change.gone is not None and self._servers.pop(change.gone, None):
+        if change.gone in self._servers:
+            self._servers.pop(change.gone)
             for on_gone in self.on_gone:
                 on_gone(change.gone)
 
--- a/src/dandelionstage/catalog/lapses.py
+++ b/src/dandelionstage/catalog/lapses.py
@@ -38,13 +38,13 @@
         """Return what holds already; keep back removals in doubt."""
         certain: list[Item] = []
         for item in items:
-            if item.raw is not None:
-                self._held.pop(item.key, None)
-                certain.append(item)
-            elif now_ms < self._until_ms:
+            is_removal = item.raw is None
+            if is_removal and now_ms < self._until_ms:
                 self._held.setdefault(item.key, (item, self._until_ms))
-            else:
-                certain.append(item)
+                continue
+            if not is_removal:
+                self._held.pop(item.key, None)
+            certain.append(item)
         return certain
 
     def due(self, now_ms: float) -> list[Item]:
--- a/src/dandelionstage/gateway/caller_link.py
+++ b/src/dandelionstage/gateway/caller_link.py
@@ -4,25 +4,26 @@
 from collections.abc import Callable
 from enum import Enum, unique
 from http import HTTPStatus
+from types import MappingProxyType
 from typing import Final, cast, final
 
-import httptools
-
 from ..catalog.routes import CallerLimits
 from .clock import now_ms
 from .reply_reader import HeaderNames
+from .request_reader import Fault, Reading, RequestReader
 from .requests import Answer, CallerRequest, refusal
 
-__all__ = ('CallerLink', 'LinkPhase')
+__all__ = ('CallerLink', 'Handle', 'LinkPhase', 'LinkTools')
 
 _CONTINUE: Final = b'HTTP/1.1 100 Continue\r\n\r\n'
 _KEPT_ALIVE: Final = b'connection: keep-alive\r\n'
 _CLOSED: Final = b'connection: close\r\n'
-_NEVER_MS: Final = float('inf')
-_HEADER_OVERHEAD_BYTES: Final = 4
-_REASONS: Final = {
-    status.value: status.phrase.encode() for status in HTTPStatus
-}
+_REASONS: Final = MappingProxyType(
+    {status.value: status.phrase.encode() for status in HTTPStatus},
+)
+
+#: Serves a whole request and gives its answer once.
+Handle = Callable[[CallerRequest, Callable[[Answer], None]], None]
 
 
 @unique
@@ -35,6 +36,29 @@
     CLOSED = 'closed'
 
 
+@final
+class LinkTools:
+    """What all connections from callers share.
+
+    :ivar limits: what callers may send, as published now.
+    :ivar handle: serves a request.
+    :ivar unread_ms: how long bytes read now may have lain unread.
+    """
+
+    def __init__(
+        self,
+        names: HeaderNames,
+        limits: Callable[[], CallerLimits],
+        handle: Handle,
+        unread_ms: Callable[[float], float],
+    ) -> None:
+        """Take what is shared."""
+        self.names = names
+        self.limits = limits
+        self.handle = handle
+        self.unread_ms = unread_ms
+
+
 @final
 class CallerLink(asyncio.Protocol):  # noqa: WPS214 -- a protocol's callbacks
     """Serves one request at a time.
@@ -45,31 +69,24 @@
 
     :ivar phase: what it is doing.
     :ivar since_ms: when that began, by the steady clock.
+    :ivar is_last: whether the connection ends with the next answer.
     """
 
     def __init__(
         self,
-        names: HeaderNames,
-        limits: Callable[[], CallerLimits],
-        handle: 'Callable[[CallerRequest, Callable[[Answer], None]], None]',
+        tools: LinkTools,
         on_closed: 'Callable[[CallerLink], None]',
     ) -> None:
-        """Prepare a connection.
-
-        :param handle: serves a whole request and gives its answer once.
-        """
+        """Prepare a connection."""
         self.phase = LinkPhase.IDLE
         self.since_ms = now_ms()
         self.is_last = False
-        self._names = names
-        self._limits = limits
-        self._handle = handle
+        self._tools = tools
         self._on_closed = on_closed
         self._transport: asyncio.Transport | None = None
-        self._parser = httptools.HttpRequestParser(self)
+        self._reader = RequestReader(tools.names)
         self._request: CallerRequest | None = None
         self._served = 0
-        self._start_request()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Wait for a request."""
@@ -82,30 +99,22 @@
             return
         if self.phase is LinkPhase.IDLE:
             self._enter(LinkPhase.READING)
-        self._unread_head_bytes += len(received)
-        try:
-            self._parser.feed_data(received)
-        except httptools.HttpParserUpgrade:
-            self._refuse(HTTPStatus.BAD_REQUEST, 'upgrades are not served')
-        except httptools.HttpParserError as error:
-            if self.phase is LinkPhase.READING:
-                self._refuse(HTTPStatus.BAD_REQUEST, str(error))
-            else:
-                self.is_last = True
-        if self.phase is LinkPhase.READING:
-            self._check_head()
-        elif self.is_last:
-            self.close_if_idle()
-
-    def eof_received(self) -> None:
-        """Take in that the caller closed."""
+        fault = self._read(received)
+        if fault is not None:
+            self._refuse(fault)
+        elif self._reader.reading is Reading.WHOLE:
+            self._serve()
+        elif self._reader.wants_continue and self._transport is not None:
+            self._transport.write(_CONTINUE)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Stop what was done for a caller that is gone."""
         self._enter(LinkPhase.CLOSED)
-        request, self._request = self._request, None
+        request = self._request
+        self._request = None
         if request is not None and request.on_gone is not None:
-            on_gone, request.on_gone = request.on_gone, None
+            on_gone = request.on_gone
+            request.on_gone = None
             on_gone()
         self._on_closed(self)
 
@@ -116,11 +125,13 @@
 
     def close_if_overdue(self, at_ms: float) -> None:
         """Close when the caller takes too long."""
-        limits = self._limits()
+        limits = self._tools.limits()
         waited_ms = at_ms - self.since_ms
         if self.phase is LinkPhase.READING:
             if waited_ms > limits.header_timeout_ms:
-                self._refuse(HTTPStatus.REQUEST_TIMEOUT, 'request too slow')
+                self._refuse(
+                    Fault(HTTPStatus.REQUEST_TIMEOUT, 'request too slow')
+                )
         elif waited_ms > limits.idle_timeout_ms:
             self.close_if_idle()
 
@@ -129,116 +140,25 @@
         if self._transport is not None:
             self._transport.abort()
 
-    def on_message_begin(self) -> None:
-        """Start a request (called by the parser)."""
-        if self._is_whole or self.phase is not LinkPhase.READING:
-            self._is_whole = True
-            self.is_last = True
-            return
-        self._start_request()
-
-    def on_url(self, target: bytes) -> None:
-        """Keep a piece of the target (called by the parser)."""
-        if not self._is_whole:
-            self._target += target
-
-    def on_header(self, name: bytes, content: bytes) -> None:
-        """Keep a header (called by the parser)."""
-        if not self._is_whole:
-            self._headers.append((name.lower(), content))
-            self._head_bytes += (
-                len(name) + len(content) + _HEADER_OVERHEAD_BYTES
-            )
-
-    def on_headers_complete(self) -> None:
-        """Let a caller that waits for it send the body (by the parser)."""
-        if self._is_whole or self._transport is None:
-            return
-        self._has_head = True
-        expected = dict(self._headers).get(b'expect', b'').lower()
-        if expected == b'100-continue':
-            self._transport.write(_CONTINUE)
-
-    def on_body(self, piece: bytes) -> None:
-        """Keep a piece of the body (called by the parser)."""
-        if self._is_whole:
-            return
-        self._body_bytes += len(piece)
-        if self._body_bytes <= self._limits().body_bytes:
-            self._body.append(piece)
-
-    def on_message_complete(self) -> None:
-        """Serve a whole request (called by the parser)."""
-        if self._is_whole or self.phase is not LinkPhase.READING:
-            return
-        self._is_whole = True
-        if not self._parser.should_keep_alive():
-            self.is_last = True
-        if not self._check_head() or self._refused_headers():
-            return
-        self._serve()
-
-    def _start_request(self) -> None:
-        self._target = b''
-        self._headers: list[tuple[bytes, bytes]] = []
-        self._body: list[bytes] = []
-        self._head_bytes = 0
-        self._body_bytes = 0
-        self._unread_head_bytes = 0
-        self._has_head = False
-        self._is_whole = False
-
-    def _check_head(self) -> bool:
-        """Refuse what is larger than the limits; tell whether it is not."""
-        limits = self._limits()
-        head_bytes = max(self._head_bytes, len(self._target))
-        if not self._has_head:
-            head_bytes = max(head_bytes, self._unread_head_bytes)
-        if head_bytes > limits.header_bytes:
-            self._refuse(
-                HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE, 'head too large'
-            )
-            return False
-        if self._body_bytes > limits.body_bytes:
-            self._refuse(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, 'body too large')
-            return False
-        return True
-
-    def _refused_headers(self) -> bool:
-        found = dict(self._headers)
-        hosts = [name for name, _ in self._headers if name == b'host']
-        fault = ''
-        if len(hosts) != 1:
-            fault = 'one host header is needed'
-        elif not self._target.startswith(b'/'):
-            fault = 'the target must be a path'
-        elif not found.get(self._names.request_id):
-            fault = 'a request id is needed'
-        elif not found.get(self._names.time_left, b'0').isdigit():
-            fault = 'the deadline must be whole milliseconds'
-        if fault:
-            self._refuse(HTTPStatus.BAD_REQUEST, fault)
-        return bool(fault)
+    def _read(self, received: bytes) -> Fault | None:
+        reader = self._reader
+        fault = reader.feed(received)
+        if reader.reading is Reading.WHOLE:
+            # What follows a whole request is at fault, not the request.
+            if reader.has_more or fault is not None:
+                self.is_last = True
+            fault = reader.improper()
+        return fault or reader.oversize(self._tools.limits())
 
     def _serve(self) -> None:
-        found = dict(self._headers)
-        host = found[b'host'].decode('latin-1').lower().partition(':')[0]
-        time_left = found.get(self._names.time_left)
-        request = CallerRequest(
-            method=self._parser.get_method(),
-            target=self._target,
-            host=host,
-            headers=tuple(self._headers),
-            body=b''.join(self._body),
-            request_id=found[self._names.request_id],
-            time_left_ms=float(time_left) if time_left else _NEVER_MS,
-            arrived_ms=self.since_ms,
-            is_kept=self._served > 0,
-        )
+        self.is_last = self.is_last or not self._reader.keeps_alive
+        unread_ms = self._tools.unread_ms(now_ms())
+        request = self._reader.request(self.since_ms - unread_ms)
+        request.is_kept = self._served > 0
         self._served += 1
         self._request = request
         self._enter(LinkPhase.SERVING)
-        self._handle(request, self._give)
+        self._tools.handle(request, self._give)
 
     def _give(self, answer: Answer) -> None:
         if self.phase is not LinkPhase.SERVING or self._transport is None:
@@ -248,32 +168,30 @@
             self._request.on_gone = None
             self._request = None
         self._write(answer)
-        if self.is_last or self._transport.is_closing():
-            self._transport.close()
-        else:
-            self._start_request()
+        self._reader.restart()
         self._enter(LinkPhase.IDLE)
+        if self.is_last:
+            self._transport.close()
 
-    def _refuse(self, status: HTTPStatus, reason: str) -> None:
+    def _refuse(self, fault: Fault) -> None:
         """Answer what cannot be served and read no further."""
         if self._transport is None or self._transport.is_closing():
             return
         self.is_last = True
-        self._is_whole = True
-        self._write(refusal(status, reason))
+        self._write(refusal(fault.status, fault.reason))
         self._transport.close()
 
     def _write(self, answer: Answer) -> None:
-        assert self._transport is not None  # noqa: S101 -- open by now
         lines = [
             b'HTTP/1.1 %d %b\r\n'
-            % (answer.status, _REASONS.get(answer.status, b''))
+            % (answer.status, _REASONS.get(answer.status, b'')),
+            *(b'%b: %b\r\n' % header for header in answer.headers),
+            _CLOSED if self.is_last else _KEPT_ALIVE,
+            b'content-length: %d\r\n\r\n' % len(answer.body),
+            answer.body,
         ]
-        lines.extend(b'%b: %b\r\n' % header for header in answer.headers)
-        lines.append(_CLOSED if self.is_last else _KEPT_ALIVE)
-        lines.append(b'content-length: %d\r\n\r\n' % len(answer.body))
-        lines.append(answer.body)
-        self._transport.write(b''.join(lines))
+        if self._transport is not None:
+            self._transport.write(b''.join(lines))
 
     def _enter(self, phase: LinkPhase) -> None:
         self.phase = phase
--- a/src/dandelionstage/gateway/callers.py
+++ b/src/dandelionstage/gateway/callers.py
@@ -2,27 +2,28 @@
 
 import asyncio
 from collections.abc import Callable
-from types import TracebackType
-from typing import Final, Self, final
+from contextlib import AsyncExitStack
+from typing import Final, final
 
 from ..catalog.routes import CallerLimits
-from .caller_link import CallerLink, LinkPhase
+from ..lifecycle.owning import Owner
+from ..lifecycle.pause import PauseDetector
+from .caller_link import CallerLink, Handle, LinkPhase, LinkTools
 from .clock import now_ms
 from .reply_reader import HeaderNames
-from .requests import Answer, CallerRequest
 
 __all__ = ('CallerPort',)
 
 #: How often connections are looked at for being idle or slow.
-_SWEEP_S: Final = 0.5
+_SWEEP_S: Final = 0.25
+#: A sweep that comes this late shows that the process did not run.
+_PAUSE_MS: Final = 750.0
 #: Connections that the kernel takes before the process does.
 _BACKLOG: Final = 512
 
-Handle = Callable[[CallerRequest, Callable[[Answer], None]], None]
-
 
 @final
-class CallerPort:
+class CallerPort(Owner):  # noqa: WPS214 -- one owner of a port, short methods
     """Listens, and closes connections that are overdue or to end."""
 
     def __init__(
@@ -34,37 +35,12 @@
     ) -> None:
         """Prepare; nothing listens before the port is entered."""
         self._address = address
-        self._names = names
-        self._limits = limits
-        self._handle = handle
+        self._pauses = PauseDetector(_PAUSE_MS)
+        self._tools = LinkTools(names, limits, handle, self._pauses.unread_ms)
         self._links: set[CallerLink] = set()
         self._server: asyncio.Server | None = None
-        self._sweeping: asyncio.Task[None] | None = None
         self._is_ending = False
 
-    async def __aenter__(self) -> Self:
-        """Listen."""
-        loop = asyncio.get_running_loop()
-        host, port = self._address
-        self._server = await loop.create_server(
-            self._accept, host, port, backlog=_BACKLOG
-        )
-        self._sweeping = loop.create_task(self._sweep())
-        return self
-
-    async def __aexit__(
-        self,
-        kind: type[BaseException] | None,
-        error: BaseException | None,
-        trace: TracebackType | None,
-    ) -> None:
-        """Stop listening and close every connection."""
-        if self._sweeping is not None:
-            self._sweeping.cancel()
-        self.stop_listening()
-        for link in tuple(self._links):
-            link.abort()
-
     @property
     def in_progress(self) -> int:
         """Connections on which a request is read or served."""
@@ -93,10 +69,22 @@
             self._server.close()
             self._server = None
 
-    def _accept(self) -> CallerLink:
-        link = CallerLink(
-            self._names, self._limits, self._handle, self._links.discard
+    async def _open(self, stack: AsyncExitStack) -> None:
+        loop = asyncio.get_running_loop()
+        host, port = self._address
+        self._server = await loop.create_server(
+            self._accept, host, port, backlog=_BACKLOG
         )
+        stack.callback(self._abort_all)
+        stack.callback(self.stop_listening)
+        stack.callback(loop.create_task(self._sweep()).cancel)
+
+    def _abort_all(self) -> None:
+        for link in tuple(self._links):
+            link.abort()
+
+    def _accept(self) -> CallerLink:
+        link = CallerLink(self._tools, self._links.discard)
         link.is_last = self._is_ending
         self._links.add(link)
         return link
@@ -105,5 +93,6 @@
         while True:
             await asyncio.sleep(_SWEEP_S)
             at_ms = now_ms()
+            self._pauses.beat(at_ms)
             for link in tuple(self._links):
                 link.close_if_overdue(at_ms)
--- a/src/dandelionstage/gateway/gateway.py
+++ b/src/dandelionstage/gateway/gateway.py
@@ -1,11 +1,13 @@
 """Takes callers' requests and has each served by its route."""
 
 from collections.abc import Callable
+from enum import Enum, unique
 from http import HTTPStatus
+from types import MappingProxyType
 from typing import Final, final
 
 from ..catalog.catalog import Catalog
-from ..catalog.routes import Gather
+from ..catalog.routes import Gather, Route
 from ..placing.shard_choice import unreachable_shards
 from .gather_run import GatherRun
 from .pacing import HEDGE_QUANTILE, Pacing, pace_of
@@ -13,18 +15,38 @@
 from .single_run import SingleRun
 from .tools import RunTools
 
-__all__ = ('Gateway',)
+__all__ = ('Gateway', 'Refused')
 
-#: A VM that has just started knows the routes within about this time.
-_START_RETRY_AFTER_MS: Final = 400.0
 #: Less time than this is not enough to ask any server.
 _LEAST_LEFT_MS: Final = 2.0
 #: While too few shards can be reached, one query in this time is let through.
 _HOPELESS_PROBE_MS: Final = 700.0
+#: Of answers that took no unusual decision, one in so many is logged.
+_SAMPLED_EVERY: Final = 50
+
+
+@unique
+class Refused(Enum):
+    """Why a request is refused before anything is sent."""
+
+    STARTING = 'no routes known yet'
+    NO_ROUTE = 'no such route'
+    EXPIRED = 'too little time left'
+    UNREACHABLE = 'too few shards can be reached'
+
+
+#: When a refused caller may come back, at the least.  A VM that has just
+#: started knows the routes within about 300 ms.
+_RETRY_AFTER_MS: Final = MappingProxyType(
+    {
+        Refused.STARTING: 300.0,
+        Refused.UNREACHABLE: _HOPELESS_PROBE_MS,
+    },
+)
 
 
 @final
-class Gateway:
+class Gateway:  # noqa: WPS214 -- one decision a method
     """Chooses the route of a request and starts its run."""
 
     def __init__(
@@ -35,6 +57,7 @@
         self._tools = tools
         self._pacing = pacing
         self._probed_ms = float('-inf')
+        self._served = 0
 
     def handle(
         self,
@@ -44,42 +67,59 @@
         """Serve a request; gives its answer once, unless its caller goes."""
         routes = self._catalog.routes
         if routes is None or not self._catalog.usable:
-            self._refuse(
-                request,
-                give,
-                HTTPStatus.SERVICE_UNAVAILABLE,
-                'no routes known yet',
-                _START_RETRY_AFTER_MS,
-            )
+            give(self._unavailable(request, Refused.STARTING))
             return
         route = routes.find(request.host, request.path)
         if route is None:
-            self._refuse(request, give, HTTPStatus.NOT_FOUND, 'no such route')
-            return
-        if request.time_left_ms < _LEAST_LEFT_MS:
-            self._refuse(
-                request,
-                give,
-                HTTPStatus.SERVICE_UNAVAILABLE,
-                'too little time left',
-            )
-            return
-        if route.gather and self._is_hopeless(route.gather):
-            again_ms = self._tools.random.uniform(
-                _HOPELESS_PROBE_MS, 2 * _HOPELESS_PROBE_MS
-            )
-            self._refuse(
-                request,
-                give,
-                HTTPStatus.SERVICE_UNAVAILABLE,
-                'too few shards can be reached',
-                again_ms,
-            )
-            return
+            give(self._refuse(request, HTTPStatus.NOT_FOUND, Refused.NO_ROUTE))
+        elif request.time_left_ms < _LEAST_LEFT_MS:
+            give(self._unavailable(request, Refused.EXPIRED))
+        elif route.gather and self._is_hopeless(route.gather):
+            give(self._unavailable(request, Refused.UNREACHABLE))
+        else:
+            self._run(request, route, give)
+
+    def _run(
+        self,
+        request: CallerRequest,
+        route: Route,
+        give: Callable[[Answer], None],
+    ) -> None:
         high_ms = self._tools.times.quantile_ms(route.name, HEDGE_QUANTILE)
         pace = pace_of(request, route, high_ms, self._pacing)
         run = GatherRun if route.gather else SingleRun
-        run(request, route, pace, self._tools, give).start()
+        run(
+            request,
+            route,
+            pace,
+            self._tools,
+            lambda answer: self._give(request, route, give, answer),
+        ).start()
+
+    def _give(
+        self,
+        request: CallerRequest,
+        route: Route,
+        give: Callable[[Answer], None],
+        answer: Answer,
+    ) -> None:
+        """Answer, count it, and log it when it is late or one of many."""
+        elapsed_ms = self._tools.now_ms() - request.arrived_ms
+        self._tools.log.counts.answer(route.name, answer.status, elapsed_ms)
+        self._served += 1
+        is_late = elapsed_ms > route.target_ms
+        if is_late or self._served % _SAMPLED_EVERY == 0:
+            routes = self._catalog.routes
+            self._tools.log.event(
+                'answered_late' if is_late else 'answered',
+                request=request.log_id,
+                route=route.name,
+                status=answer.status,
+                waited_ms=round(elapsed_ms, 1),
+                target_ms=route.target_ms,
+                routes_version=routes.version if routes else None,
+            )
+        give(answer)
 
     def _is_hopeless(self, gather: Gather) -> bool:
         """Whether no answer is possible, as far as is known.
@@ -94,22 +134,34 @@
             return False
         return True
 
+    def _unavailable(self, request: CallerRequest, reason: Refused) -> Answer:
+        """Refuse what has not run and tell when to come back.
+
+        The wait is random, so that callers do not come back together.
+        """
+        least_ms = _RETRY_AFTER_MS.get(reason)
+        again_ms = None
+        if least_ms is not None:
+            again_ms = self._tools.random.uniform(least_ms, 2 * least_ms)
+        return self._refuse(
+            request, HTTPStatus.SERVICE_UNAVAILABLE, reason, again_ms
+        )
+
     def _refuse(
         self,
         request: CallerRequest,
-        give: Callable[[Answer], None],
         status: HTTPStatus,
-        reason: str,
+        reason: Refused,
         retry_after_ms: float | None = None,
-    ) -> None:
+    ) -> Answer:
         routes = self._catalog.routes
         self._tools.log.event(
             'request_refused',
             request=request.log_id,
             status=status.value,
-            reason=reason,
+            reason=reason.value,
             host=request.host,
             target=request.target.decode('latin-1'),
             routes_version=routes.version if routes else None,
         )
-        give(refusal(status, reason, retry_after_ms))
+        return refusal(status, reason.value, retry_after_ms)
--- a/src/dandelionstage/gateway/gather_run.py
+++ b/src/dandelionstage/gateway/gather_run.py
@@ -13,10 +13,11 @@
 )
 from ..retries.backoff import backoff_ms
 from .attempt import Attempt, Ending, Reply
+from .lessons import is_good, outcome_of
 from .pacing import Pace
 from .records import greatest_records
 from .requests import Answer, CallerRequest, refusal
-from .run import FirstAnswer, Sender, is_good
+from .run import FirstAnswer, OneTimer, Sender
 from .tools import RunTools
 
 __all__ = ('GatherRun',)
@@ -27,6 +28,7 @@
 _SPARE_SHARDS: Final = 1
 #: The first wait after the target is random up to 64 ms, the next longer.
 _BACKOFF_START: Final = 4
+_INFINITE: Final = float('inf')
 _OCTETS: Final = (b'content-type', b'application/octet-stream')
 
 
@@ -72,6 +74,7 @@
         self._tools = tools
         self._answer = FirstAnswer(give)
         self._sender = Sender(request, route, tools)
+        self._timer = OneTimer(tools)
         self._shards = [_Shard(shard) for shard in self._gather.shards]
         self._out = 0
         self._parts = 0
@@ -91,7 +94,7 @@
             self._tools.budgets.earn(shard.service, now_ms)
             if shard.service in skipped or not self._ask(shard):
                 self._note_left_out(shard)
-        self._sender.call_at(self._pace.hedge_ms, self._hedge)
+        self._timer.call_at(self._pace.hedge_ms, self._hedge)
         self._is_deciding = False
         self._decide()
 
@@ -131,7 +134,7 @@
         return True
 
     def _end(self, shard: _Shard, attempt: Attempt, ending: Ending) -> None:
-        self._sender.learn(attempt, ending)
+        self._sender.lessons.learn(attempt, ending)
         if attempt in shard.out:
             shard.out.remove(attempt)
             self._out -= not shard.out
@@ -144,6 +147,9 @@
     def _take_part(self, shard: _Shard, reply: Reply) -> None:
         shard.part = reply
         self._parts += 1
+        self._give_up(shard)
+
+    def _give_up(self, shard: _Shard) -> None:
         self._out -= bool(shard.out)
         for slower in shard.out:
             self._sender.give_up(slower, is_slow=True)
@@ -160,7 +166,7 @@
             request=self._request.log_id,
             service=shard.service,
             server=attempt.server,
-            outcome=_outcome(ending),
+            outcome=outcome_of(ending),
             waited_ms=round(self._tools.now_ms() - attempt.started_ms, 1),
         )
         if shard.out or len(shard.tried) >= self._route.attempts:
@@ -184,13 +190,14 @@
     def _hedge(self) -> None:
         """Ask a second server of each shard that is slow to answer."""
         for shard in self._shards:
-            if len(shard.out) == 1 and len(shard.tried) < self._route.attempts:
+            may_ask = len(shard.tried) < self._route.attempts
+            if may_ask and len(shard.out) == 1:
                 self._hedge_shard(shard)
-        self._sender.call_at(self._pace.answer_ms, self._reach_target)
+        self._timer.call_at(self._pace.answer_ms, self._reach_target)
 
     def _hedge_shard(self, shard: _Shard) -> None:
         now_ms = self._tools.now_ms()
-        self._sender.note_slow(shard.out[0])
+        self._sender.lessons.note_slow(shard.out[0])
         first = self._tools.replica_of(shard.out[0].server)
         other = self._tools.replicas.choose(
             shard.service, now_ms, avoid=shard.tried
@@ -198,14 +205,15 @@
         if other is None or is_skipped(other, now_ms, self._tools.random):
             return
         # A server that is worse still would not answer sooner.
-        is_better = first is None or other.cost(now_ms) <= first.cost(now_ms)
+        first_cost = first.cost(now_ms) if first else _INFINITE
+        is_better = other.cost(now_ms) <= first_cost
         if is_better and self._sender.take_extra(shard.service, 'hedge'):
             self._ask(shard)
 
     def _reach_target(self) -> None:
         """Answer if that is possible, else ask again for what is needed."""
         self._is_late = True
-        self._sender.call_at(self._pace.end_ms, self._run_out)
+        self._timer.call_at(self._pace.end_ms, self._run_out)
         self._decide()
         if self._answer.is_due:
             self._ask_late()
@@ -213,17 +221,12 @@
     def _ask_late(self) -> None:
         """Ask again for as many shards as an answer lacks."""
         self._late_rounds += 1
-        self._sender.call_at(self._pace.end_ms, self._run_out)
+        self._timer.call_at(self._pace.end_ms, self._run_out)
         self._is_deciding = True
         lacking = self._gather.least_parts - self._parts + _SPARE_SHARDS
         for shard in self._shards:
-            if lacking <= 0:
-                break
-            if shard.part is None:
-                for overdue in shard.out:
-                    self._sender.give_up(overdue, is_slow=True)
-                self._out -= bool(shard.out)
-                shard.out.clear()
+            if lacking > 0 and shard.part is None:
+                self._give_up(shard)
                 if self._sender.take_extra(shard.service, 'late_retry'):
                     lacking -= self._ask(shard)
         self._is_deciding = False
@@ -248,11 +251,13 @@
         again_ms = now_ms + backoff_ms(
             _BACKOFF_START + self._late_rounds, 0, self._tools.random
         )
-        hopeless = unreachable_shards(self._gather, self._tools.replicas, now_ms)
+        hopeless = unreachable_shards(
+            self._gather, self._tools.replicas, now_ms
+        )
         if again_ms >= self._pace.end_ms or hopeless:
             self._fail(HTTPStatus.BAD_GATEWAY, 'too few shards answer')
         else:
-            self._sender.call_at(again_ms, self._ask_late)
+            self._timer.call_at(again_ms, self._ask_late)
 
     def _run_out(self) -> None:
         self._fail(HTTPStatus.GATEWAY_TIMEOUT, 'too few shards in time')
@@ -287,7 +292,7 @@
         self._release(is_slow=True)
 
     def _release(self, *, is_slow: bool) -> None:
-        self._sender.stop_timer()
+        self._timer.stop()
         for shard in self._shards:
             for attempt in shard.out:
                 self._sender.give_up(attempt, is_slow=is_slow)
@@ -307,9 +312,3 @@
             lacking=[shard.service for shard in self._shards if not shard.part],
             waited_ms=round(self._tools.now_ms() - self._request.arrived_ms, 1),
         )
-
-
-def _outcome(ending: Ending) -> str:
-    if isinstance(ending, Reply):
-        return '{0}{1}'.format(ending.status, '' if ending.ran else ' not run')
-    return ending.value
--- a/src/dandelionstage/gateway/pacing.py
+++ b/src/dandelionstage/gateway/pacing.py
@@ -71,13 +71,17 @@
         route.target_ms - margin_ms,
     )
     longest_ms = min(request.time_left_ms, route.timeout_ms)
-    latest_hedge_ms = patience_ms * _LATEST_HEDGE_FRACTION
-    hedge_ms = latest_hedge_ms if high_ms is None else high_ms
     arrived_ms = request.arrived_ms
     return Pace(
-        hedge_ms=arrived_ms
-        + max(_LEAST_HEDGE_MS, min(hedge_ms, latest_hedge_ms)),
+        hedge_ms=arrived_ms + _hedge_wait_ms(patience_ms, high_ms),
         answer_ms=arrived_ms + min(patience_ms, longest_ms),
         end_ms=arrived_ms + max(1, longest_ms - pacing.end_margin_ms),
         deadline_ms=arrived_ms + longest_ms,
     )
+
+
+def _hedge_wait_ms(patience_ms: float, high_ms: float | None) -> float:
+    latest_ms = patience_ms * _LATEST_HEDGE_FRACTION
+    if high_ms is None:
+        return latest_ms
+    return max(_LEAST_HEDGE_MS, min(high_ms, latest_ms))
--- a/src/dandelionstage/gateway/reply_reader.py
+++ b/src/dandelionstage/gateway/reply_reader.py
@@ -52,7 +52,7 @@
 
 
 @final
-class ReplyReader:
+class ReplyReader:  # noqa: WPS214 -- callbacks of the parser
     """Turns a connection's bytes into replies, each with its request's id.
 
     A reply is whole when its length says so; one without a length is whole
--- a/src/dandelionstage/gateway/server_link.py
+++ b/src/dandelionstage/gateway/server_link.py
@@ -149,7 +149,8 @@
         self._on_rest(self)
 
     def _lose(self, loss: Loss) -> None:
-        attempt, self.attempt = self.attempt, None
+        attempt = self.attempt
+        self.attempt = None
         if attempt is not None:
             attempt.end(loss)
 
--- a/src/dandelionstage/gateway/server_pool.py
+++ b/src/dandelionstage/gateway/server_pool.py
@@ -53,7 +53,8 @@
     @property
     def load(self) -> int:
         """Attempts that wait or are out."""
-        return len(self._waiting) + len(self._links) - len(self._idle)
+        busy = len(self._links) - len(self._idle)
+        return busy + len(self._waiting)
 
     @property
     def link_count(self) -> int:
@@ -98,9 +99,8 @@
     def retire(self) -> None:
         """Send nothing more; what was sent may finish."""
         self._is_closed = True
-        waiting, self._waiting = self._waiting, deque()
-        for attempt in waiting:
-            attempt.end(Loss.WITHDRAWN)
+        while self._waiting:
+            self._waiting.popleft().end(Loss.WITHDRAWN)
         for link in tuple(self._idle):
             link.close()
 
--- a/src/dandelionstage/gateway/single_run.py
+++ b/src/dandelionstage/gateway/single_run.py
@@ -7,9 +7,10 @@
 from ..catalog.routes import Route, ServiceId, Work
 from ..catalog.servers import ServerId
 from .attempt import Attempt, Ending, Reply
+from .lessons import is_good, is_misdirected, outcome_of
 from .pacing import Pace
 from .requests import Answer, CallerRequest, passed_on, refusal
-from .run import FirstAnswer, Sender, is_good, is_misdirected
+from .run import FirstAnswer, OneTimer, Sender
 from .tools import RunTools
 
 __all__ = ('SingleRun',)
@@ -17,7 +18,10 @@
 #: Callers that are turned away come back spread over this time.
 _RETRY_AFTER_MS: Final = 250.0
 _RETRY_SPREAD_MS: Final = 750.0
-_SERVER_ERRORS: Final = range(500, 600)
+_SERVER_ERRORS: Final = range(
+    HTTPStatus.INTERNAL_SERVER_ERROR.value,
+    600,  # noqa: WPS432 -- status
+)
 
 
 @final
@@ -43,6 +47,7 @@
         self._tools = tools
         self._answer = FirstAnswer(give)
         self._sender = Sender(request, route, tools)
+        self._timer = OneTimer(tools)
         self._service: ServiceId = route.draw_service(tools.random)
         self._tried: list[ServerId] = []
         self._out: list[Attempt] = []
@@ -53,7 +58,7 @@
         """Send the request to one server."""
         self._request.on_gone = self.cancel
         self._tools.budgets.earn(self._service, self._tools.now_ms())
-        self._sender.call_at(
+        self._timer.call_at(
             self._pace.hedge_ms if self._is_safe else self._pace.end_ms,
             self._hedge if self._is_safe else self._run_out,
         )
@@ -67,7 +72,7 @@
         half done.
         """
         self._answer.drop()
-        self._sender.stop_timer()
+        self._timer.stop()
         self._tools.log.event(
             'caller_gone',
             request=self._request.log_id,
@@ -84,15 +89,13 @@
         if replica is None:
             return False
         self._tried.append(replica.record.server)
-        attempt = self._sender.send(
-            replica, self._end, self._pace.deadline_ms
-        )
+        attempt = self._sender.send(replica, self._end, self._pace.deadline_ms)
         if not attempt.ended:
             self._out.append(attempt)
         return True
 
     def _end(self, attempt: Attempt, ending: Ending) -> None:
-        self._sender.learn(attempt, ending)
+        self._sender.lessons.learn(attempt, ending)
         if attempt in self._out:
             self._out.remove(attempt)
         if not self._answer.is_due:
@@ -143,14 +146,14 @@
             and self._answer.is_due
         )
         if may_ask:
-            self._sender.note_slow(self._out[0])
+            self._sender.lessons.note_slow(self._out[0])
             has_other = self._tools.replicas.choose(
                 self._service, self._tools.now_ms(), self._tried
             )
             if has_other and self._sender.take_extra(self._service, 'hedge'):
                 self._ask()
         if self._answer.is_due:
-            self._sender.call_at(self._pace.end_ms, self._run_out)
+            self._timer.call_at(self._pace.end_ms, self._run_out)
 
     def _run_out(self) -> None:
         """Give the final answer, as the time is over."""
@@ -185,20 +188,19 @@
         self._finish(refusal(status, reason))
 
     def _finish(self, answer: Answer) -> None:
-        self._sender.stop_timer()
+        self._timer.stop()
         self._answer.give(answer)
         for slower in self._out:
             self._sender.give_up(slower, is_slow=True)
         self._out.clear()
 
     def _log_failure(self, attempt: Attempt, ending: Ending) -> None:
-        outcome = ending.status if isinstance(ending, Reply) else ending.value
         self._tools.log.event(
             'attempt_failed',
             request=self._request.log_id,
             service=self._service,
             server=attempt.server,
-            outcome=outcome,
+            outcome=outcome_of(ending),
             ran=self._runs,
             waited_ms=round(self._tools.now_ms() - attempt.started_ms, 1),
         )
--- a/src/dandelionstage/gateway/status_port.py
+++ b/src/dandelionstage/gateway/status_port.py
@@ -2,11 +2,13 @@
 
 import asyncio
 from collections.abc import Callable, Mapping
-from types import TracebackType
-from typing import Self, cast, final
+from contextlib import AsyncExitStack
+from http import HTTPStatus
+from typing import Final, cast, final
 
 import httptools
 
+from ..lifecycle.owning import Owner
 from .requests import Answer
 
 __all__ = ('Page', 'StatusPort')
@@ -14,11 +16,11 @@
 #: Makes the answer to one question.
 Page = Callable[[], Answer]
 
-_NOT_FOUND = Answer(404)
+_NOT_FOUND: Final = Answer(HTTPStatus.NOT_FOUND.value)
 
 
 @final
-class StatusPort:
+class StatusPort(Owner):
     """Answers GET requests for a few fixed targets."""
 
     def __init__(
@@ -30,25 +32,13 @@
         """
         self._address = address
         self._pages = pages
-        self._server: asyncio.Server | None = None
 
-    async def __aenter__(self) -> Self:
-        """Listen."""
+    async def _open(self, stack: AsyncExitStack) -> None:
         host, port = self._address
-        self._server = await asyncio.get_running_loop().create_server(
+        server = await asyncio.get_running_loop().create_server(
             lambda: _StatusLink(self._pages), host, port
         )
-        return self
-
-    async def __aexit__(
-        self,
-        kind: type[BaseException] | None,
-        error: BaseException | None,
-        trace: TracebackType | None,
-    ) -> None:
-        """Stop listening."""
-        if self._server is not None:
-            self._server.close()
+        stack.callback(server.close)
 
 
 @final
--- a/src/dandelionstage/operations/events.py
+++ b/src/dandelionstage/operations/events.py
@@ -7,16 +7,17 @@
 
 import msgspec
 
-__all__ = ('EventLog', 'Severity', 'open_output')
+from .gateway_counts import GatewayCounts
+
+__all__ = ('EventLog', 'open_output')
 
 _MS_PER_S: Final = 1000
 #: Lines of one kind written in one second; further ones are counted.
 _LINES_PER_KIND: Final = 40
 _WINDOW_MS: Final = 1000.0
+_LINE_END: Final = ord('\n')
 #: Bytes that wait for a reader of the output before lines are dropped.
-_MOST_PENDING_BYTES: Final = 256 * 1024
-
-Severity = str
+_MOST_PENDING_BYTES: Final = 262_144
 
 
 @final
@@ -26,6 +27,7 @@
     A kind that is written too often in one second is counted and the count
     is written once the second is over, so that the volume stays bounded.
 
+    :ivar counts: every event by its kind, and what else is counted.
     :ivar dropped: lines lost because nobody read the output.
     """
 
@@ -41,6 +43,7 @@
             out; raises ``BlockingIOError`` if none did.
         :param identity: fields of each line, such as the VM.
         """
+        self.counts = GatewayCounts()
         self.dropped = 0
         self._write = write
         self._now_ms = now_ms
@@ -55,6 +58,7 @@
 
         :param kind: what happened; does not vary by request.
         """
+        self.counts.events[kind] += 1
         now_ms = self._now_ms()
         if now_ms - self._window_ms >= _WINDOW_MS:
             self._start_window(now_ms)
@@ -66,7 +70,7 @@
     def flush(self) -> None:
         """Write what waits, as far as the reader takes it."""
         try:
-            written = self._write(self._pending)
+            written = self._write(bytes(self._pending))
         except BlockingIOError:
             return
         except OSError:
@@ -76,7 +80,8 @@
         del self._pending[:written]  # noqa: WPS420 -- frees in place
 
     def _start_window(self, now_ms: float) -> None:
-        written, self._written = self._written, {}
+        written = self._written
+        self._written = {}
         self._window_ms = now_ms
         for kind, count in written.items():
             if count > _LINES_PER_KIND:
@@ -85,8 +90,8 @@
                     {'of': kind, 'count': count - _LINES_PER_KIND},
                 )
         if self.dropped:
-            dropped, self.dropped = self.dropped, 0
-            self._line('lines_dropped', {'count': dropped})
+            self._line('lines_dropped', {'count': self.dropped})
+            self.dropped = 0
 
     def _line(self, kind: str, fields: dict[str, Any]) -> None:
         if len(self._pending) > _MOST_PENDING_BYTES:
@@ -94,7 +99,8 @@
             self.flush()
             return
         stamp = {'at_ms': int(time.time() * _MS_PER_S), 'event': kind}
-        self._pending += self._encode(stamp | fields | self._identity) + b'\n'
+        self._pending += self._encode(stamp | fields | self._identity)
+        self._pending.append(_LINE_END)
         self.flush()
 
 
--- a/src/dandelionstage/placing/extra_budget.py
+++ b/src/dandelionstage/placing/extra_budget.py
@@ -39,7 +39,7 @@
 
 
 @final
-class ExtraBudgets:
+class ExtraBudgets:  # noqa: WPS214 -- one account book, short methods
     """A token bucket for each service, holding this VM's share.
 
     Shares sum up to less than the whole however the VMs are cut off from
--- a/src/dandelionstage/placing/replicas.py
+++ b/src/dandelionstage/placing/replicas.py
@@ -15,6 +15,7 @@
 #: longer and bytes between data centres cost money, yet a near server that
 #: works for this VM already is passed over.
 _REMOTE_FACTOR: Final = 1.4
+_BLUR: Final = 0.01
 #: A server that has just started and says so.
 _COLD_FACTOR: Final = 1.6
 
@@ -68,8 +69,13 @@
         return cost
 
 
+_ByService = dict[ServiceId, list[Replica[Pool]]]
+
+
 @final
-class Replicas(Generic[Pool]):
+class Replicas(  # noqa: WPS214 -- one table, short methods
+    Generic[Pool]
+):
     """Every usable server by service, kept in step with the catalog."""
 
     def __init__(
@@ -86,7 +92,7 @@
         self._make_pool = make_pool
         self._random = random
         self._by_server: dict[ServerId, Replica[Pool]] = {}
-        self._by_service: dict[ServiceId, list[Replica[Pool]]] = {}
+        self._by_service: _ByService[Pool] = {}
 
     def __iter__(self) -> Iterator[Replica[Pool]]:
         """Go through all replicas."""
@@ -133,17 +139,16 @@
 
         :param among: take none but these.
         """
-        best: Replica[Pool] | None = None
-        least = float('inf')
-        for replica in self._by_service.get(service, ()):
-            server = replica.record.server
-            if server in avoid or (among is not None and server not in among):
-                continue
-            # Up to a hundredth: breaks ties, decides nothing else.
-            cost = replica.cost(now_ms) * (1 + self._random.random() / 100)
-            if cost < least:
-                best, least = replica, cost
-        return best
+        allowed = [
+            replica
+            for replica in self._by_service.get(service, ())
+            if _is_allowed(replica.record.server, avoid, among)
+        ]
+        return min(
+            allowed,
+            key=lambda replica: self._blurred(replica.cost(now_ms)),
+            default=None,
+        )
 
     def is_silent(self, service: ServiceId, now_ms: float) -> bool:
         """Whether no replica of a service seems reachable."""
@@ -152,6 +157,10 @@
             for replica in self._by_service.get(service, ())
         )
 
+    def _blurred(self, cost: float) -> float:
+        """Add up to a hundredth, which breaks ties and decides no more."""
+        return cost * (1 + self._random.random() * _BLUR)
+
     def _add(self, record: ServerRecord) -> Replica[Pool]:
         replica = Replica(
             record,
@@ -170,3 +179,11 @@
         record.port,
         record.born_ms,
     )
+
+
+def _is_allowed(
+    server: ServerId,
+    avoid: Collection[ServerId],
+    among: Collection[ServerId] | None,
+) -> bool:
+    return server not in avoid and (among is None or server in among)
--- a/src/dandelionstage/placing/shard_choice.py
+++ b/src/dandelionstage/placing/shard_choice.py
@@ -9,9 +9,7 @@
 __all__ = ('is_skipped', 'skipped_shards', 'unreachable_shards')
 
 
-def is_skipped(
-    replica: Replica[Any], now_ms: float, random: Random
-) -> bool:
+def is_skipped(replica: Replica[Any], now_ms: float, random: Random) -> bool:
     """Draw whether a server is spared one request."""
     return random.random() < replica.throttle.skip_probability(now_ms)
 
@@ -29,20 +27,21 @@
     queries than if each query asked them all.
     """
     may_lack = len(gather.shards) - gather.least_parts
-    overloaded: list[tuple[ServiceId, float]] = []
+    overloaded: list[Replica[Any]] = []
     for shard in gather.shards:
         best = replicas.choose(shard, now_ms)
         if best is None:
             may_lack -= 1
         elif best.throttle.skip_probability(now_ms):
-            skip = best.throttle.skip_probability(now_ms)
-            overloaded.append((shard, skip))
+            overloaded.append(best)
     if len(overloaded) <= may_lack:
         # Whatever they answer in time only adds to the answer.
         return frozenset()
     random.shuffle(overloaded)
-    drawn = [shard for shard, skip in overloaded if random.random() < skip]
-    return frozenset(drawn[: max(0, may_lack)])
+    skipped = [each for each in overloaded if is_skipped(each, now_ms, random)]
+    return frozenset(
+        each.record.service for each in skipped[: max(0, may_lack)]
+    )
 
 
 def unreachable_shards(
@@ -53,9 +52,7 @@
     :returns: nothing while an answer is possible without them.
     """
     silent = tuple(
-        shard
-        for shard in gather.shards
-        if replicas.is_silent(shard, now_ms)
+        shard for shard in gather.shards if replicas.is_silent(shard, now_ms)
     )
     may_lack = len(gather.shards) - gather.least_parts
     return silent if len(silent) > may_lack else ()
--- a/src/dandelionstage/platform/documents.py
+++ b/src/dandelionstage/platform/documents.py
@@ -1,7 +1,6 @@
-"""Decodes what operators and backend servers write to the store."""
+"""Says what an entry of the store means to the product."""
 
-import base64
-import binascii
+from types import MappingProxyType
 from typing import Final, final
 
 import msgspec
@@ -18,249 +17,90 @@
     Share,
     Work,
 )
-from ..catalog.servers import (
-    ServerId,
-    ServerRecord,
-    ServerState,
-    StoreRevision,
-)
+from ..catalog.servers import ServerId, ServerRecord, ServerState
 from ..operations.events import EventLog
+from .config_bodies import ConfigBody, RouteBody, ServerBody
 
-__all__ = ('Interpreter', 'Page', 'Watched', 'read_page', 'read_watched')
+__all__ = ('Interpreter',)
 
 _ROUTES_KEY: Final = 'op/config'
 _SERVERS_PREFIX: Final = 'servers/'
-_STATES: Final = {
-    'ready': ServerState.LIVE,
-    'draining': ServerState.DRAINING,
-}
-_WORKS: Final = {'safe': Work.IDEMPOTENT, 'unsafe': Work.ONCE}
-
-
-@final
-class _Split(msgspec.Struct):
-    service: str
-    weight: float
-
-
-@final
-class _Route(msgspec.Struct, rename='camel'):
-    """A route as published.
-
-    :ivar route_type: what may be repeated.
-    :ivar target_latency_ms: time within which an answer earns most.
-    :ivar gather: the shards of a query, instead of a service.
-    :ivar top_k: records in a gathered answer.
-    :ivar min_coverage: share of the shards that an answer needs.
-    """
-
-    host: str
-    prefix: str
-    route_type: str
-    timeout_ms: float
-    target_latency_ms: float
-    name: str = ''
-    attempts: int = 1
-    priority: int = 0
-    service: str | None = None
-    traffic_split: list[_Split] = []
-    gather: list[str] = []
-    top_k: int = 0
-    min_coverage: float = 0
-
-
-@final
-class _Service(msgspec.Struct, rename='camel'):
-    name: str
-    max_connections: int = 0
-
-
-@final
-class _Limits(msgspec.Struct, rename='camel'):
-    max_header_bytes: int = CallerLimits().header_bytes
-    max_body_bytes: int = CallerLimits().body_bytes
-    header_timeout_ms: float = CallerLimits().header_timeout_ms
-    idle_timeout_ms: float = CallerLimits().idle_timeout_ms
-
-
-@final
-class _Config(msgspec.Struct):
-    version: int
-    routes: list[_Route]
-    services: list[_Service]
-    limits: _Limits = msgspec.field(default_factory=_Limits)
-
-
-@final
-class _Server(msgspec.Struct, rename='camel'):
-    """A server's own entry.
-
-    :ivar zone: its data centre.
-    :ivar warmup_left_ms: how long it stays slow after its start.
-    :ivar born: Unix milliseconds of its start.
-    """
-
-    service: str
-    address: str
-    zone: str
-    slots: int
-    state: str
-    warmup_left_ms: float = 0
-    born: int = 0
-
-
-@final
-class _StoreItem(msgspec.Struct):
-    """An item, or the notice of its removal.
-
-    :ivar value: base64 text.
-    """
-
-    key: str
-    revision: int
-    value: str = ''
-    deleted: bool = False
-
-
-@final
-class _PageBody(msgspec.Struct, rename='camel'):
-    items: list[_StoreItem]
-    has_more: bool
-    as_of: int
-
-
-@final
-class _WatchBody(msgspec.Struct, rename='camel'):
-    events: list[_StoreItem]
-    as_of: int
-
-
-@final
-class Page(msgspec.Struct):
-    """One page of a reading of the store.
-
-    :ivar last_key: where the next page begins, empty after the last.
-    """
-
-    items: list[Item]
-    as_of: StoreRevision
-    last_key: str
-
-
-@final
-class Watched(msgspec.Struct):
-    """What changed in the store up to a revision."""
-
-    items: list[Item]
-    as_of: StoreRevision
-
-
-def read_page(body: bytes) -> Page:
-    """Decode a page.
-
-    :raises msgspec.MsgspecError: when it is none.
-    """
-    page = msgspec.json.decode(body, type=_PageBody)
-    items = [_item(each) for each in page.items]
-    more = page.has_more and items
-    return Page(items, StoreRevision(page.as_of), items[-1].key if more else '')
-
-
-def read_watched(body: bytes) -> Watched:
-    """Decode what a watch brought.
-
-    :raises msgspec.MsgspecError: when it is no such body.
-    """
-    watched = msgspec.json.decode(body, type=_WatchBody)
-    return Watched(
-        [_item(each) for each in watched.events],
-        StoreRevision(watched.as_of),
-    )
+_STATES: Final = MappingProxyType(
+    {'ready': ServerState.LIVE, 'draining': ServerState.DRAINING},
+)
+_WORKS: Final = MappingProxyType(
+    {'safe': Work.IDEMPOTENT, 'unsafe': Work.ONCE},
+)
 
 
 @final
 class Interpreter:
-    """Says what an item of the store means to the product.
+    """Interprets items and logs those that cannot be read.
 
-    An entry that cannot be read is named in the log and left out; what was
-    known under its key holds until the entry can be read again or is gone.
+    An entry that cannot be read is left out; what was known under its key
+    holds until the entry can be read again or is gone.
     """
 
     def __init__(self, log: EventLog) -> None:
         """Log to a log."""
         self._log = log
 
-    def __call__(self, item: Item) -> Change:
+    def __call__(self, found: Item) -> Change:
         """Tell what an item means; nothing if it is of no use."""
         try:
-            return _interpret(item)
+            return _interpret(found)
         except (msgspec.MsgspecError, ValueError) as fault:
             self._log.event(
                 'entry_unreadable',
-                key=item.key,
-                revision=item.revision,
+                key=found.key,
+                revision=found.revision,
                 fault=str(fault),
             )
             return Change()
 
 
-def _item(found: _StoreItem) -> Item:
-    raw: bytes | None = None
-    if not found.deleted:
-        try:
-            raw = base64.b64decode(found.value, validate=True)
-        except binascii.Error:
-            # The key stands for an entry that cannot be read.
-            raw = b''
-    return Item(found.key, StoreRevision(found.revision), raw)
-
-
-def _interpret(item: Item) -> Change:
-    if item.key == _ROUTES_KEY:
-        if item.raw is None:
-            return Change()
-        return Change(routes=_read_routes(item.raw))
-    if not item.key.startswith(_SERVERS_PREFIX):
-        return Change()
-    server = ServerId(item.key.removeprefix(_SERVERS_PREFIX))
-    if item.raw is None:
-        return Change(gone=server)
-    return Change(server=_read_server(server, item.raw))
+def _interpret(found: Item) -> Change:
+    if found.key.startswith(_SERVERS_PREFIX):
+        server = ServerId(found.key.removeprefix(_SERVERS_PREFIX))
+        if found.raw is None:
+            return Change(gone=server)
+        return Change(server=_read_server(server, found.raw))
+    if found.key == _ROUTES_KEY and found.raw is not None:
+        return Change(routes=_read_routes(found.raw))
+    return Change()
 
 
 def _read_server(server: ServerId, raw: bytes) -> ServerRecord:
-    found = msgspec.json.decode(raw, type=_Server)
-    host, _, port = found.address.rpartition(':')
-    if found.state not in _STATES:
-        raise ValueError('unknown state {0!r}'.format(found.state))
-    if not (host and port.isdigit()):
-        raise ValueError('bad address {0!r}'.format(found.address))
+    body = msgspec.json.decode(raw, type=ServerBody)
+    host, _, port = body.address.rpartition(':')
+    if body.state not in _STATES:
+        raise ValueError('unknown state {0!r}'.format(body.state))
+    if not host or not port.isdigit():
+        raise ValueError('bad address {0!r}'.format(body.address))
     return ServerRecord(
         server=server,
-        service=ServiceId(found.service),
+        service=ServiceId(body.service),
         host=host,
         port=int(port),
-        data_centre=found.zone,
-        slots=found.slots,
-        state=_STATES[found.state],
-        warm_up_left_ms=found.warmup_left_ms,
-        born_ms=found.born,
+        data_centre=body.zone,
+        slots=body.slots,
+        state=_STATES[body.state],
+        warm_up_left_ms=body.warmup_left_ms,
+        born_ms=body.born,
     )
 
 
 def _read_routes(raw: bytes) -> RouteTable:
-    config = msgspec.json.decode(raw, type=_Config)
-    services = {
-        ServiceId(each.name): Service(
-            ServiceId(each.name), each.max_connections
-        )
+    config = msgspec.json.decode(raw, type=ConfigBody)
+    services = [
+        Service(ServiceId(each.name), each.max_connections)
         for each in config.services
-    }
+    ]
     limits = config.limits
     return RouteTable(
         RouteVersion(config.version),
         [_read_route(each) for each in config.routes],
-        services,
+        {each.service: each for each in services},
         CallerLimits(
             header_bytes=limits.max_header_bytes,
             body_bytes=limits.max_body_bytes,
@@ -270,30 +110,37 @@
     )
 
 
-def _read_route(found: _Route) -> Route:
-    if found.route_type not in _WORKS:
-        raise ValueError('unknown kind {0!r}'.format(found.route_type))
-    shares = tuple(
-        Share(ServiceId(each.service), each.weight)
-        for each in found.traffic_split
-    )
-    if found.service is not None:
-        shares = (Share(ServiceId(found.service), 1),)
-    gather = None
-    if found.gather:
-        shards = tuple(map(ServiceId, found.gather))
-        gather = Gather(shards, found.top_k, found.min_coverage)
-    elif not shares:
-        raise ValueError('route {0!r} leads nowhere'.format(found.name))
+def _read_route(body: RouteBody) -> Route:
+    if body.route_type not in _WORKS:
+        raise ValueError('unknown kind {0!r}'.format(body.route_type))
+    shares = _read_shares(body)
+    if not shares and not body.gather:
+        raise ValueError('route {0!r} leads nowhere'.format(body.name))
     return Route(
-        name=found.name or found.host + found.prefix,
-        host=found.host.lower(),
-        prefix=found.prefix,
-        work=_WORKS[found.route_type],
-        timeout_ms=found.timeout_ms,
-        target_ms=found.target_latency_ms,
-        attempts=max(1, found.attempts),
-        priority=found.priority,
+        name=body.name or body.host + body.prefix,
+        host=body.host.lower(),
+        prefix=body.prefix,
+        work=_WORKS[body.route_type],
+        timeout_ms=body.timeout_ms,
+        target_ms=body.target_latency_ms,
+        attempts=max(1, body.attempts),
+        priority=body.priority,
         shares=shares,
-        gather=gather,
+        gather=_read_gather(body),
+    )
+
+
+def _read_shares(body: RouteBody) -> tuple[Share, ...]:
+    if body.service is not None:
+        return (Share(ServiceId(body.service), 1),)
+    return tuple(
+        Share(ServiceId(each.service), each.weight)
+        for each in body.traffic_split
     )
+
+
+def _read_gather(body: RouteBody) -> Gather | None:
+    if not body.gather:
+        return None
+    shards = tuple(map(ServiceId, body.gather))
+    return Gather(shards, body.top_k, body.min_coverage)
--- a/src/dandelionstage/platform/main.py
+++ b/src/dandelionstage/platform/main.py
@@ -6,17 +6,21 @@
 import signal
 import sys
 from random import Random
-from typing import Final, NoReturn
+from typing import Final
 
 import uvloop
 
 from ..gateway.clock import now_ms
 from ..operations.events import EventLog, open_output
 from .node import Node
-from .settings import SettingsError, read_settings, settings_path
+from .settings_file import SettingsError, SettingsFile
 
 __all__ = ('main',)
 
+#: Where the platform says the settings file lies, and where it lies
+#: otherwise.
+_PATH_VARIABLE: Final = 'DANDELIONSTAGE_BOOT'
+_DEFAULT_PATH: Final = '/etc/dandelionstage/boot.yaml'
 #: The process was told something that cannot be served.
 _EXIT_SETTINGS: Final = 2
 #: Objects made before young ones are looked at for cycles; served requests
@@ -26,13 +30,17 @@
 
 def main() -> None:
     """Read the settings, then serve until told to stop."""
-    path = settings_path()
     try:
-        settings = read_settings(path)
+        settings_file = SettingsFile(
+            os.environ.get(_PATH_VARIABLE, _DEFAULT_PATH)
+        )
     except SettingsError as fault:
-        _refuse(str(fault))
-    log = EventLog(open_output(), now_ms, vm=settings.node_name)
-    node = Node(settings, path, log, Random())
+        sys.stderr.write('bad settings: {0}\n'.format(fault))
+        sys.exit(_EXIT_SETTINGS)
+    vm = settings_file.settings.node_name
+    log = EventLog(open_output(), now_ms, vm=vm)
+    node = Node(settings_file, log, Random())
+    # What was made until now stays; collections need not look at it.
     gc.collect()
     gc.freeze()
     gc.set_threshold(_YOUNG_OBJECTS)
@@ -48,10 +56,5 @@
         await node.stopped()
 
 
-def _refuse(fault: str) -> NoReturn:
-    os.write(sys.stderr.fileno(), 'bad settings: {0}\n'.format(fault).encode())
-    raise SystemExit(_EXIT_SETTINGS)
-
-
 if __name__ == '__main__':
     main()
--- a/src/dandelionstage/platform/names.py
+++ b/src/dandelionstage/platform/names.py
@@ -4,7 +4,14 @@
 
 from ..gateway.reply_reader import HeaderNames
 
-__all__ = ('HEADERS', 'KEY_PATH', 'RANGE_PATH', 'READY_TARGET', 'WATCH_PATH')
+__all__ = (
+    'HEADERS',
+    'METRICS_PORT',
+    'METRICS_TARGET',
+    'RANGE_PATH',
+    'READY_TARGET',
+    'WATCH_PATH',
+)
 
 HEADERS: Final = HeaderNames(
     request_id=b'x-request-id',
@@ -16,6 +23,8 @@
     missing=b'x-missing-parts',
 )
 READY_TARGET: Final = b'/api/ready'
-KEY_PATH: Final = '/api/kv-key'
 RANGE_PATH: Final = '/api/kv-range'
 WATCH_PATH: Final = '/api/kv-watch'
+#: As in deploy/system.toml.
+METRICS_PORT: Final = 9464
+METRICS_TARGET: Final = b'/metrics'
--- a/src/dandelionstage/platform/settings.py
+++ b/src/dandelionstage/platform/settings.py
@@ -1,22 +1,17 @@
-"""The settings file as the platform fills it in."""
+"""What one process is told of itself and of the platform."""
 
-import os
-from collections.abc import Mapping
 from typing import Final, final
 
 import msgspec
 
 from ..placing.extra_budget import BudgetTerms
 
-__all__ = ('BootSettings', 'SettingsError', 'read_settings', 'settings_path')
+__all__ = ('BootSettings',)
 
-#: Where the platform says the file lies, and where it lies otherwise.
-_PATH_VARIABLE: Final = 'DANDELIONSTAGE_BOOT'
-_DEFAULT_PATH: Final = '/etc/dandelionstage/boot.yaml'
-
-
-class SettingsError(Exception):
-    """The settings file cannot be used; the message names the field."""
+_CAMEL: Final = 'camel'
+#: A watch is given up this long after it should have returned, and the next
+#: one asks for what was missed.
+_NOTICE_MS: Final = 1000.0
 
 
 @final
@@ -25,25 +20,22 @@
 
     :ivar front: for callers.
     :ivar ready: where the platform asks whether callers may be sent.
-    :ivar control: free for the product's own use.
     """
 
     front: str
     ready: str
-    control: str
 
 
 @final
-class _Limits(msgspec.Struct, frozen=True, rename='camel'):
-    max_fds: int
+class _Bounds(msgspec.Struct, frozen=True, rename=_CAMEL):
+    """What is judged.
 
+    :ivar stability_window_ms: bounds hold again so long after a fault.
+    :ivar grace_s: from the request to stop to the kill.
+    """
 
-@final
-class _Bounds(msgspec.Struct, frozen=True, rename='camel'):
     stability_window_ms: float
     grace_s: float
-    drain_ms: float
-    config_apply_ms: float
     retry_budget_ratio: float
     budget_window_s: float
     retry_budget_slack: float
@@ -55,25 +47,23 @@
 
 
 @final
-class BootSettings(msgspec.Struct, frozen=True, rename='camel'):
-    """What one process is told of itself and of the platform.
+class BootSettings(msgspec.Struct, frozen=True, rename=_CAMEL):
+    """The settings file, without what the product has no use for.
 
     :ivar node_name: this VM.
     :ivar zone: its data centre.
-    :ivar zones: the region of each data centre.
-    :ivar seeds: control addresses of some VMs, perhaps stale.
     :ivar internal_port_range: ports free for talk between VMs, both ends
         included.
+    :ivar seeds: addresses of some VMs, perhaps stale; only the host counts.
+    :ivar platform: the store.
     """
 
     node_name: str
     ip: str
     zone: str
-    zones: dict[str, str]
     listen_addrs: _Listen
     internal_port_range: tuple[int, int]
     seeds: tuple[str, ...]
-    limits: _Limits
     bounds: _Bounds
     platform: _Store
 
@@ -86,21 +76,16 @@
             window_s=self.bounds.budget_window_s,
         )
 
-
-def settings_path(environment: Mapping[str, str] = os.environ) -> str:
-    """Return where the settings file lies."""
-    return environment.get(_PATH_VARIABLE, _DEFAULT_PATH)
-
-
-def read_settings(path: str) -> BootSettings:
-    """Read and check the settings file.
-
-    :raises SettingsError: when it cannot be read or a field is at fault.
-    """
-    try:
-        with open(path, 'rb') as settings_file:
-            return msgspec.json.decode(settings_file.read(), type=BootSettings)
-    except OSError as error:
-        raise SettingsError('{0}: {1}'.format(path, error.strerror)) from error
-    except msgspec.MsgspecError as fault:
-        raise SettingsError('{0}: {1}'.format(path, fault)) from fault
+    @property
+    def watch_ms(self) -> int:
+        """How long a watch of the store waits for a change.
+
+        One that is lost in silence is noticed before the store counts as
+        stable again.
+        """
+        window_ms = self.bounds.stability_window_ms
+        return int(max(window_ms - _NOTICE_MS, window_ms / 2))
+
+    def inner_address(self, host: str) -> str:
+        """Where a VM talks to the others: on the first of the free ports."""
+        return '{0}:{1}'.format(host, self.internal_port_range[0])
--- /dev/null
+++ b/src/dandelionstage/platform/sources.py
@@ -0,0 +1,66 @@
+"""Where a VM on the platform has its knowledge from."""
+
+import asyncio
+from contextlib import AsyncExitStack
+from random import Random
+from typing import final
+
+from ..catalog.catalog import Catalog
+from ..lifecycle.owning import Owner
+from ..model.ids import VmId
+from ..operations.events import EventLog
+from ..spread.frames import host_and_port
+from ..spread.members import Address
+from ..spread.node import SpreadNode
+from .documents import Interpreter
+from .settings import BootSettings
+from .store_client import StoreClient
+from .store_reader import StoreReader
+
+__all__ = ('Sources',)
+
+
+@final
+class Sources(Owner):
+    """Fills the catalog from the store and from other VMs.
+
+    :ivar catalog: the newest that is known.
+    :ivar spread: the talk with other VMs.
+    """
+
+    def __init__(
+        self, settings: BootSettings, log: EventLog, random: Random
+    ) -> None:
+        """Build the parts; nothing is opened before this is entered."""
+        self.catalog = Catalog(Interpreter(log))
+        self.spread = SpreadNode(
+            _address(settings, settings.ip),
+            settings.zone,
+            self.catalog,
+            log,
+            random,
+        )
+        self._client = StoreClient(*host_and_port(settings.platform.address))
+        self._reader = StoreReader(
+            self._client, self.catalog, self.spread.members, log, random
+        )
+        self._reader.on_news = self.spread.tell_news
+        self.use_settings(settings)
+
+    def use_settings(self, settings: BootSettings) -> None:
+        """Follow changed settings."""
+        self._reader.watch_ms = settings.watch_ms
+        self.spread.use_seeds(
+            _address(settings, host_and_port(seed)[0])
+            for seed in settings.seeds
+        )
+
+    async def _open(self, stack: AsyncExitStack) -> None:
+        stack.callback(self._client.close)
+        await stack.enter_async_context(self.spread)
+        reading = asyncio.get_running_loop().create_task(self._reader.run())
+        stack.callback(reading.cancel)
+
+
+def _address(settings: BootSettings, host: str) -> Address:
+    return Address(VmId(settings.inner_address(host)))
--- a/src/dandelionstage/platform/store_client.py
+++ b/src/dandelionstage/platform/store_client.py
@@ -3,8 +3,7 @@
 import asyncio
 import socket
 from collections.abc import Callable
-from types import TracebackType
-from typing import Final, Self, TypeVar, cast, final
+from typing import Final, TypeVar, cast, final
 from urllib.parse import urlencode
 
 import msgspec
@@ -12,8 +11,8 @@
 from ..catalog.servers import StoreRevision
 from ..gateway.attempt import Reply
 from ..gateway.reply_reader import ReplyReader, Stream
-from .documents import Page, Watched, read_page, read_watched
 from .names import HEADERS, RANGE_PATH, WATCH_PATH
+from .store_bodies import Page, Watched, read_page, read_watched
 
 __all__ = ('HistoryGone', 'StoreClient', 'StoreUnavailable')
 
@@ -45,7 +44,7 @@
     """Asks one thing at a time.
 
     A connection on which an answer did not come in time is closed, as
-    nothing more may come on it.
+    nothing more may come on it.  The owner closes the client.
     """
 
     def __init__(self, host: str, port: int) -> None:
@@ -54,22 +53,10 @@
         self._port = port
         self._line: _Line | None = None
 
-    async def __aenter__(self) -> Self:
-        """Do nothing until the first call."""
-        return self
-
-    async def __aexit__(
-        self,
-        kind: type[BaseException] | None,
-        error: BaseException | None,
-        trace: TracebackType | None,
-    ) -> None:
-        """Close the connection."""
-        self.close()
-
     def close(self) -> None:
         """Close the connection; a call in progress fails."""
-        line, self._line = self._line, None
+        line = self._line
+        self._line = None
         if line is not None:
             line.close()
 
@@ -147,7 +134,7 @@
 
 
 @final
-class _Line(asyncio.Protocol):
+class _Line(asyncio.Protocol):  # noqa: WPS214 -- a protocol's callbacks
     """One connection to the store."""
 
     def __init__(self, host: str) -> None:
--- a/src/dandelionstage/platform/store_reader.py
+++ b/src/dandelionstage/platform/store_reader.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import math
 from collections.abc import Callable
 from random import Random
 from typing import Final, final
@@ -35,7 +36,7 @@
 
 
 @final
-class StoreReader:
+class StoreReader:  # noqa: WPS214 -- one task, short steps
     """Reads everything once, then what changes.
 
     :ivar watch_ms: how long a watch waits for a change; one that was lost
@@ -156,7 +157,8 @@
         due_ms = self._lapses.next_due_ms()
         if due_ms is None:
             return longest_ms
-        return max(1, min(longest_ms, int(due_ms - now_ms()) + 1))
+        until_due_ms = max(1, due_ms - now_ms())
+        return math.ceil(min(longest_ms, until_due_ms))
 
     async def _back_off(self, fault: str) -> None:
         if not self._failures:
--- a/src/dandelionstage/spread/members.py
+++ b/src/dandelionstage/spread/members.py
@@ -1,7 +1,7 @@
 """Which VMs there are, and which of them read the store for all."""
 
 import math
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterator, KeysView
 from dataclasses import dataclass
 from random import Random
 from typing import Final, NewType, final
@@ -23,9 +23,7 @@
 #: A VM that is gone for good still counts for shares of fleet-wide limits
 #: for this long: it may only be cut off from here.
 _COUNTED_MS: Final = 600_000.0
-#: VMs that read at the same time, in two data centres if there are two, so
-#: that none has to notice the loss of the other in time.
-_READERS: Final = 2
+#: The name that VMs are ranked for to choose those that read.
 _READERS_NAME: Final = 'store readers'
 
 
@@ -44,25 +42,31 @@
 
 
 @final
-class Members:
+class Members:  # noqa: WPS214 -- the face of the package, short methods
     """A table of VMs with the age of what is known of each.
 
     Ages instead of times or counters need no agreement on a clock and no
     memory over a restart: whatever the way of the news, the smallest age
     is the best evidence.
+
+    :ivar has_store: whether this VM reaches the store, as far as it knows.
     """
 
     def __init__(self, own: Address, data_centre: str) -> None:
         """Know of this VM only."""
+        self.has_store = True
         self._own = own
         self._data_centre = data_centre
         self._seen: dict[Address, Sighting] = {}
-        self.has_store = True
 
     def __len__(self) -> int:
         """Count every VM that may exist, this one included."""
         return len(self._seen) + 1
 
+    def known(self) -> KeysView[Address]:
+        """Return the other VMs that may exist."""
+        return self._seen.keys()
+
     def hear(
         self,
         vm: Address,
@@ -74,44 +78,35 @@
         """Take in evidence of a VM; tell whether the VM was unknown."""
         if vm == self._own:
             return False
-        known = self._seen.get(vm)
-        if known is None:
+        seen = self._seen.get(vm)
+        if seen is None:
             self._seen[vm] = Sighting(data_centre, heard_ms, has_store)
-            return True
-        if heard_ms > known.heard_ms:
-            known.heard_ms = heard_ms
-            known.has_store = has_store
-        return False
-
-    def leave(self, vm: Address) -> None:
-        """Take in that a VM is stopping: it reads no more."""
-        known = self._seen.get(vm)
-        if known is not None:
-            known.has_store = False
+        elif heard_ms > seen.heard_ms:
+            seen.heard_ms = heard_ms
+            seen.has_store = has_store
+        return seen is None
 
     def forget(self, now_ms: float) -> None:
         """Drop VMs that were gone for so long that they do not come back."""
-        gone = [
-            vm
+        oldest_ms = now_ms - _COUNTED_MS
+        self._seen = {
+            vm: seen
             for vm, seen in self._seen.items()
-            if now_ms - seen.heard_ms > _COUNTED_MS
-        ]
-        for vm in gone:
-            self._seen.pop(vm)
+            if seen.heard_ms > oldest_ms
+        }
 
     def alive(self, now_ms: float) -> list[Address]:
         """List the other VMs that were heard from lately."""
-        oldest_ms = now_ms - self._patience_ms()
-        return [
-            vm for vm, seen in self._seen.items() if seen.heard_ms >= oldest_ms
-        ]
+        doublings = math.log2(max(1, len(self) / _SMALL_FLEET))
+        oldest_ms = now_ms - _ALIVE_MS - doublings * _ROUND_MS
+        return [vm for vm in self._seen if self._is_heard(vm, oldest_ms)]
 
     def sample(
         self, count: int, random: Random
     ) -> Iterator[tuple[Address, Sighting]]:
         """Draw known VMs to tell others of."""
-        drawn = random.sample(list(self._seen), min(count, len(self._seen)))
-        for vm in drawn:
+        known = list(self._seen)
+        for vm in random.sample(known, min(count, len(known))):
             yield vm, self._seen[vm]
 
     def is_reader(self, now_ms: float) -> bool:
@@ -119,12 +114,16 @@
         return self._own in self.readers(now_ms)
 
     def readers(self, now_ms: float) -> list[Address]:
-        """List the VMs that read, as seen from here."""
-        ranked = self._rank(now_ms)
-        chosen = ranked[:1]
-        others = [vm for vm in ranked[1:] if not self._is_near(vm, chosen)]
-        rest = [vm for vm in ranked[1:] if vm not in others]
-        return (chosen + others + rest)[:_READERS]
+        """List the VMs that read, as seen from here.
+
+        There are two, so that none has to notice the loss of the other in
+        time, and not in one data centre if there are others.
+        """
+        first, *others = self._rank(now_ms)
+        elsewhere = [
+            vm for vm in others if self._place(vm) != self._place(first)
+        ]
+        return [first, *(elsewhere or others)[:1]]
 
     def _rank(self, now_ms: float) -> list[Address]:
         """Order the VMs that may read, the same from everywhere."""
@@ -136,13 +135,9 @@
         candidates = able or [*alive, self._own]
         return [Address(vm) for vm in rank_vms(_READERS_NAME, candidates)]
 
-    def _is_near(self, vm: Address, chosen: Iterable[Address]) -> bool:
-        return any(self._place(vm) == self._place(each) for each in chosen)
+    def _is_heard(self, vm: Address, since_ms: float) -> bool:
+        return self._seen[vm].heard_ms >= since_ms
 
     def _place(self, vm: Address) -> str:
         seen = self._seen.get(vm)
         return self._data_centre if seen is None else seen.data_centre
-
-    def _patience_ms(self) -> float:
-        doublings = math.log2(max(1, len(self) / _SMALL_FLEET))
-        return _ALIVE_MS + doublings * _ROUND_MS
