--- a/src/dandelionstage/gateway/gather_run.py
+++ b/src/dandelionstage/gateway/gather_run.py
@@ -2,10 +2,11 @@
 
 from collections.abc import Callable
 from http import HTTPStatus
-from typing import Final, final
+from typing import Any, Final, final
 
 from ..catalog.routes import Gather, Route, ServiceId
 from ..catalog.servers import ServerId
+from ..placing.replicas import Replica
 from ..placing.shard_choice import (
     is_skipped,
     skipped_shards,
@@ -112,13 +113,7 @@
 
     def _ask(self, shard: _Shard) -> bool:
         """Send to a server of a shard, to a new one while that is allowed."""
-        may_be_new = len(shard.tried) < self._route.attempts
-        replica = self._tools.replicas.choose(
-            shard.service,
-            self._tools.now_ms(),
-            avoid=shard.tried if may_be_new else (),
-            among=None if may_be_new else shard.tried,
-        )
+        replica = self._choose(shard)
         if replica is None:
             return False
         if replica.record.server not in shard.tried:
@@ -133,6 +128,20 @@
             shard.out.append(attempt)
         return True
 
+    def _choose(self, shard: _Shard) -> Replica[Any] | None:
+        now_ms = self._tools.now_ms()
+        replica: Replica[Any] | None = None
+        if len(shard.tried) < self._route.attempts:
+            replica = self._tools.replicas.choose(
+                shard.service, now_ms, avoid=shard.tried
+            )
+        if replica is None and self._is_late:
+            # A server that did not answer in time may do so now.
+            replica = self._tools.replicas.choose(
+                shard.service, now_ms, among=shard.tried
+            )
+        return replica
+
     def _end(self, shard: _Shard, attempt: Attempt, ending: Ending) -> None:
         self._sender.lessons.learn(attempt, ending)
         if attempt in shard.out:
--- /dev/null
+++ b/tests/gateway_world.py
@@ -0,0 +1,224 @@
+"""Servers, clock and timers of the gateway's decisions, all by hand."""
+
+import heapq
+import itertools
+from random import Random
+
+from dandelionstage.catalog.routes import (
+    Gather,
+    Route,
+    ServiceId,
+    Share,
+    Work,
+)
+from dandelionstage.catalog.servers import ServerRecord, ServerState
+from dandelionstage.gateway.attempt import Reply
+from dandelionstage.gateway.pacing import Pacing, pace_of
+from dandelionstage.gateway.reply_reader import HeaderNames
+from dandelionstage.gateway.requests import CallerRequest
+from dandelionstage.gateway.tools import RouteTimes, RunTools
+from dandelionstage.operations.events import EventLog
+from dandelionstage.placing.extra_budget import BudgetTerms, ExtraBudgets
+from dandelionstage.placing.replicas import Replicas
+
+NAMES = HeaderNames(
+    request_id=b'x-id',
+    time_left=b'x-left',
+    stamp=b'x-stamp',
+    target=b'x-target',
+    not_run=b'x-not-run',
+    parts=b'x-parts',
+    missing=b'x-missing',
+)
+
+
+class Timers:
+    """A clock that stands still until it is moved."""
+
+    def __init__(self):
+        self.now_ms = 0.0
+        self._due = []
+        self._order = itertools.count()
+
+    def call_later(self, wait_ms, action):
+        timer = _Timer(action)
+        heapq.heappush(
+            self._due, (self.now_ms + wait_ms, next(self._order), timer)
+        )
+        return timer
+
+    def advance(self, until_ms):
+        while self._due and self._due[0][0] <= until_ms:
+            due_ms, _, timer = heapq.heappop(self._due)
+            self.now_ms = max(self.now_ms, due_ms)
+            timer.run()
+        self.now_ms = until_ms
+
+
+class _Timer:
+    def __init__(self, action):
+        self._action = action
+
+    def cancel(self):
+        self._action = None
+
+    def run(self):
+        if self._action is not None:
+            self._action()
+
+
+class HandPool:
+    """Takes attempts and answers when the test says so."""
+
+    def __init__(self, record, timers):
+        self.record = record
+        self.timers = timers
+        self.attempts = []
+        self.abandoned = []
+        self.is_retired = False
+
+    @property
+    def load(self):
+        return sum(not attempt.ended for attempt in self.attempts)
+
+    def submit(self, attempt):
+        attempt.started_ms = self.timers.now_ms
+        attempt.sent_ms = self.timers.now_ms
+        self.attempts.append(attempt)
+
+    def abandon(self, attempt):
+        attempt.ended = True
+        self.abandoned.append(attempt)
+
+    def retire(self):
+        self.is_retired = True
+
+
+class World:
+    """One VM's view of its servers."""
+
+    def __init__(self, servers, *, seed=1, budget=1000.0):
+        self.timers = Timers()
+        self.lines = []
+        self.pools = {}
+        self.answers = []
+        random = Random(seed)
+        self.replicas = Replicas('here', self._make_pool, random)
+        for service, count in servers.items():
+            for number in range(count):
+                self.add_server(service, '{0}-{1}'.format(service, number))
+        self.log = EventLog(self._write, lambda: self.timers.now_ms)
+        self.tools = RunTools(
+            replicas=self.replicas,
+            budgets=ExtraBudgets(BudgetTerms(0.2, budget, 10), lambda: 1),
+            times=RouteTimes(),
+            names=NAMES,
+            log=self.log,
+            now_ms=lambda: self.timers.now_ms,
+            call_later=self.timers.call_later,
+            random=random,
+        )
+
+    def add_server(self, service, server):
+        self.replicas.keep(
+            ServerRecord(
+                server=server,
+                service=service,
+                host='127.0.0.1',
+                port=1,
+                data_centre='here',
+                slots=2,
+                state=ServerState.LIVE,
+            ),
+            self.timers.now_ms,
+        )
+
+    def out(self, service):
+        """List the attempts at a service that still wait."""
+        return [
+            attempt
+            for pool in self.pools.values()
+            if pool.record.service == service
+            for attempt in pool.attempts
+            if not attempt.ended
+        ]
+
+    def sent(self, service):
+        return [
+            attempt
+            for pool in self.pools.values()
+            if pool.record.service == service
+            for attempt in pool.attempts
+        ]
+
+    def events(self, kind):
+        return self.log.counts.events[kind]
+
+    def start(self, run, route, request):
+        pace = pace_of(request, route, None, Pacing())
+        made = run(request, route, pace, self.tools, self.answers.append)
+        made.start()
+        return made
+
+    def _make_pool(self, record):
+        pool = HandPool(record, self.timers)
+        self.pools[record.server] = pool
+        return pool
+
+    def _write(self, pending):
+        self.lines.append(pending)
+        return len(pending)
+
+
+def good(body=b'', stamp='s.1', status=200):
+    return Reply(status, ((b'x-stamp', stamp.encode()),), body, stamp, ran=True)
+
+
+def shed(status=503):
+    return Reply(status, ((b'x-not-run', b'1'),), b'', '', ran=False)
+
+
+def failed(status=500, stamp='f.1'):
+    return Reply(status, (), b'oops', stamp, ran=True)
+
+
+def make_request(*, time_left_ms=1500.0, method=b'GET', body=b''):
+    return CallerRequest(
+        method=method,
+        target=b'/a/b',
+        host='h.example',
+        headers=((b'host', b'h.example'), (b'x-id', b'r1')),
+        body=body,
+        request_id=b'r1',
+        time_left_ms=time_left_ms,
+        arrived_ms=0.0,
+        is_kept=True,
+    )
+
+
+def gather_route(shards, *, least=0.9, attempts=2, target_ms=100.0):
+    return Route(
+        name='q',
+        host='h.example',
+        prefix='/a/',
+        work=Work.IDEMPOTENT,
+        timeout_ms=1500,
+        target_ms=target_ms,
+        attempts=attempts,
+        priority=1,
+        gather=Gather(tuple(map(ServiceId, shards)), 3, least),
+    )
+
+
+def single_route(*, work=Work.ONCE, attempts=2, timeout_ms=6000):
+    return Route(
+        name='one',
+        host='h.example',
+        prefix='/a/',
+        work=work,
+        timeout_ms=timeout_ms,
+        target_ms=400,
+        attempts=attempts,
+        priority=2,
+        shares=(Share(ServiceId('s'), 1),),
+    )
--- /dev/null
+++ b/tests/test_gather_run.py
@@ -0,0 +1,208 @@
+"""A query over many shards: hedged, complete enough, in time, truthful."""
+
+import itertools
+from random import Random
+
+import pytest
+
+from dandelionstage.gateway.attempt import Loss
+from dandelionstage.gateway.gather_run import GatherRun
+
+from .gateway_world import (
+    World,
+    failed,
+    gather_route,
+    good,
+    make_request,
+    shed,
+)
+
+SHARDS = tuple('s{0}'.format(number) for number in range(10))
+
+
+def answer_all(world, shards, body=b''):
+    for shard in shards:
+        attempt = world.out(shard)[0]
+        attempt.end(good(body, 'stamp-{0}'.format(shard)))
+
+
+def start(world, **terms):
+    return world.start(GatherRun, gather_route(SHARDS, **terms), make_request())
+
+
+def headers(answer):
+    return dict(answer.headers)
+
+
+def only(found):
+    assert len(found) == 1
+    return found[0]
+
+
+def check_parts(answer):
+    """No shard twice, and as many as the answer says."""
+    stamps = headers(answer)[b'x-parts'].split(b', ')
+    shards = {stamp.split(b'-')[0] for stamp in stamps}
+    assert len(shards) == len(stamps)
+    assert len(stamps) >= 7
+    assert len(stamps) + int(headers(answer)[b'x-missing']) == len(SHARDS)
+
+
+def test_whole_answer_comes_with_the_last_part():
+    world = World(dict.fromkeys(SHARDS, 2))
+    start(world)
+    answer_all(world, SHARDS[:-1])
+    assert not world.answers
+    answer_all(world, SHARDS[-1:])
+    answer = only(world.answers)
+    assert answer.status == 200
+    assert headers(answer)[b'x-missing'] == b'0'
+    assert len(headers(answer)[b'x-parts'].split(b',')) == 10
+
+
+def test_body_is_the_greatest_records_of_the_parts_named():
+    world = World(dict.fromkeys(SHARDS, 1))
+    random = Random(3)
+    records = [random.randbytes(16) for _ in range(40)]
+    start(world)
+    for number, shard in enumerate(SHARDS):
+        body = b''.join(records[number * 4 : number * 4 + 4])
+        world.out(shard)[0].end(good(body, shard))
+    assert world.answers[0].body == b''.join(sorted(records)[:-4:-1])
+
+
+def test_slow_shard_is_hedged_at_another_server():
+    world = World(dict.fromkeys(SHARDS, 2))
+    start(world)
+    answer_all(world, SHARDS[1:])
+    first = only(world.out('s0'))
+    world.timers.advance(60)
+    second = next(each for each in world.out('s0') if each is not first)
+    assert second.server != first.server
+    second.end(good())
+    assert world.answers[0].status == 200
+    assert first.ended
+
+
+def test_hedge_needs_budget():
+    world = World(dict.fromkeys(SHARDS, 2), budget=0.0)
+    start(world)
+    world.timers.advance(80)
+    assert len(world.sent('s0')) == 1
+    assert world.events('budget_spent') == 10
+
+
+def test_incomplete_answer_waits_for_the_target_and_says_what_lacks():
+    world = World(dict.fromkeys(SHARDS, 1))
+    start(world)
+    answer_all(world, SHARDS[1:])
+    world.timers.advance(90)
+    assert not world.answers
+    world.timers.advance(92)
+    answer = only(world.answers)
+    assert headers(answer)[b'x-missing'] == b'1'
+    assert b'stamp-s0' not in headers(answer)[b'x-parts']
+
+
+def test_shards_without_a_server_do_not_make_the_caller_wait():
+    world = World(dict.fromkeys(SHARDS[1:], 1))
+    start(world)
+    answer_all(world, SHARDS[1:])
+    assert headers(world.answers[0])[b'x-missing'] == b'1'
+
+
+def test_too_few_parts_are_no_success():
+    world = World(dict.fromkeys(SHARDS, 1))
+    start(world)
+    answer_all(world, SHARDS[2:])
+    world.timers.advance(1600)
+    assert [answer.status for answer in world.answers] == [504]
+
+
+def test_servers_are_told_to_stop_at_the_target():
+    world = World(dict.fromkeys(SHARDS, 1))
+    start(world)
+    left_ms = world.out('s0')[0].deadline_ms
+    assert left_ms == pytest.approx(91)
+
+
+def test_what_an_answer_lacks_is_asked_again_after_the_target():
+    world = World(dict.fromkeys(SHARDS, 1))
+    start(world)
+    answer_all(world, SHARDS[2:])
+    for shard in ('s0', 's1'):
+        world.timers.advance(90)
+        world.out(shard)[0].end(failed(504))
+    world.timers.advance(92)
+    late = only(world.out('s0'))
+    assert late.deadline_ms == pytest.approx(1500)
+    late.end(good())
+    assert [answer.status for answer in world.answers] == [200]
+
+
+def test_failure_goes_to_another_server_and_not_beyond_the_attempts():
+    world = World(dict.fromkeys(SHARDS, 3))
+    start(world, attempts=2)
+    for _ in range(2):
+        world.out('s0')[0].end(failed())
+    answer_all(world, SHARDS[1:])
+    assert len({each.server for each in world.sent('s0')}) == 2
+    assert headers(world.answers[0])[b'x-missing'] == b'1'
+
+
+@pytest.mark.parametrize(
+    'ending', [failed(), shed(), Loss.BROKEN, good(stamp=''), shed(421)]
+)
+def test_no_failure_is_a_part(ending):
+    world = World(dict.fromkeys(SHARDS, 1))
+    start(world)
+    world.out('s0')[0].end(ending)
+    answer_all(world, SHARDS[1:])
+    assert headers(world.answers[0])[b'x-missing'] == b'1'
+
+
+def test_caller_that_leaves_ends_every_attempt_and_no_more_are_made():
+    world = World(dict.fromkeys(SHARDS, 2))
+    request = make_request()
+    world.start(GatherRun, gather_route(SHARDS), request)
+    request.on_gone()
+    world.timers.advance(1600)
+    assert not world.answers
+    assert all(len(world.sent(shard)) == 1 for shard in SHARDS)
+    assert not any(world.out(shard) for shard in SHARDS)
+
+
+def test_answer_is_given_once_whatever_still_comes():
+    world = World(dict.fromkeys(SHARDS, 2))
+    start(world)
+    late = [world.out(shard)[0] for shard in SHARDS]
+    world.timers.advance(60)
+    answer_all(world, SHARDS)
+    for attempt in late:
+        attempt.end(good())
+    assert len(world.answers) == 1
+
+
+@pytest.mark.parametrize('seed', range(40))
+def test_any_course_ends_with_one_truthful_answer(seed):
+    """Random endings at random times: one answer, no part twice."""
+    random = Random(seed)
+    world = World(dict.fromkeys(SHARDS, 2), seed=seed)
+    start(world, least=0.7)
+    endings = (
+        lambda server: good(b'x' * 16, server),
+        lambda _: failed(),
+        lambda _: shed(),
+        lambda _: Loss.BROKEN,
+    )
+    while world.timers.now_ms < 1600:
+        for attempt in itertools.chain(*map(world.out, SHARDS)):
+            if random.randrange(10) == 0:
+                attempt.end(random.choice(endings)(attempt.server))
+        world.timers.advance(world.timers.now_ms + random.uniform(1, 20))
+    answer = only(world.answers)
+    assert answer.status in {200, 502, 504}
+    if answer.status == 200:
+        check_parts(answer)
+    servers = [{each.server for each in world.sent(shard)} for shard in SHARDS]
+    assert max(map(len, servers)) <= 2
--- /dev/null
+++ b/tests/test_placing.py
@@ -0,0 +1,159 @@
+"""Replica choice, throttle and budget replayed against their load."""
+
+from random import Random
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from dandelionstage.catalog.routes import Gather
+from dandelionstage.placing.allowance import links_allowed
+from dandelionstage.placing.extra_budget import BudgetTerms, ExtraBudgets
+from dandelionstage.placing.shard_choice import (
+    skipped_shards,
+    unreachable_shards,
+)
+from dandelionstage.placing.slowness import Slowness
+from dandelionstage.placing.throttle import Throttle
+
+from .gateway_world import World
+
+
+def test_slow_server_is_known_after_two_answers_and_forgotten_in_seconds():
+    slowness = Slowness()
+    slowness.observe(10, 0)
+    slowness.observe(10, 100)
+    assert slowness.ratio(100) > 5
+    assert slowness.ratio(12_000) == pytest.approx(1, abs=0.2)
+
+
+def test_failures_in_a_row_weigh_more_and_are_bounded():
+    slowness = Slowness()
+    ratios = []
+    for number in range(10):
+        slowness.fail(number)
+        ratios.append(slowness.ratio(number))
+    assert ratios == sorted(ratios)
+    assert ratios[-1] <= 128
+
+
+def test_near_server_first_unless_it_works_or_is_slow():
+    world = World({'s': 2})
+    near, far = map(world.replicas.replica, ('s-0', 's-1'))
+    far.is_remote = True
+    assert world.replicas.choose('s', 0) is near
+    near.slowness.observe(10, 0)
+    assert world.replicas.choose('s', 0) is far
+
+
+def make_budgets(terms, vm_count):
+    return ExtraBudgets(terms, lambda: vm_count)
+
+
+@pytest.mark.parametrize('vm_count', [1, 2, 5, 14])
+@given(data=st.data())
+def test_extra_attempts_of_all_vms_keep_to_the_fleets_budget(vm_count, data):
+    """In any window of 10 s, however requests and failures fall."""
+    terms = BudgetTerms(ratio=0.2, slack=20, window_s=10)
+    vms = [make_budgets(terms, vm_count) for _ in range(vm_count)]
+    events = data.draw(
+        st.lists(
+            st.tuples(
+                st.floats(0, 25_000),
+                st.integers(0, vm_count - 1),
+                st.booleans(),
+            ),
+            max_size=120,
+        ),
+    )
+    primaries, extras = [], []
+    for at_ms, vm, fails in sorted(events):
+        vms[vm].earn('s', at_ms)
+        primaries.append(at_ms)
+        for _ in range(8 if fails else 0):
+            if vms[vm].take('s', at_ms):
+                extras.append(at_ms)
+    for start in extras:
+        window = [at for at in extras if start <= at < start + 10_000]
+        paid = [at for at in primaries if start - 10_000 <= at < start + 10_000]
+        assert len(window) <= 0.2 * len(paid) + 20 + vm_count
+
+
+def test_budget_comes_back_with_time_and_with_requests():
+    terms = BudgetTerms(ratio=0.2, slack=20, window_s=10)
+    budgets = ExtraBudgets(terms, lambda: 1)
+    assert sum(budgets.take('s', 0) for _ in range(100)) <= 20
+    assert not budgets.take('s', 100)
+    assert budgets.take('s', 5000)
+
+
+def test_connections_of_all_vms_stay_below_what_a_server_accepts():
+    for vm_count in range(1, 200):
+        share = links_allowed(52, vm_count)
+        assert share >= 1
+        assert share == 1 or share * vm_count <= 52
+
+
+def test_throttle_sends_an_overloaded_server_about_what_it_answers():
+    """Load pattern: 10 requests a second, of which one in five is in time."""
+    throttle, random = Throttle(), Random(2)
+    sent = 0
+    for step in range(400):
+        at_ms = step * 100.0
+        if random.random() >= throttle.skip_probability(at_ms):
+            sent += 1
+            throttle.send(at_ms)
+            if sent % 5 == 0:
+                throttle.answer(at_ms)
+    assert sent < 300
+
+
+def test_throttle_leaves_a_server_alone_that_answers():
+    throttle = Throttle()
+    for step in range(100):
+        throttle.send(step * 100.0)
+        if step % 20:
+            throttle.answer(step * 100.0)
+        assert not throttle.skip_probability(step * 100.0)
+
+
+def test_queries_share_overloaded_shards_between_them():
+    """Load pattern: four of twenty shards answer nothing; two may lack."""
+    shards = tuple('s{0}'.format(number) for number in range(20))
+    world = World(dict.fromkeys(shards, 1))
+    gather = Gather(shards, 5, 0.89)
+    for shard in shards[:4]:
+        throttle = world.replicas.of(shard)[0].throttle
+        for _ in range(20):
+            throttle.send(0)
+    skipped = [
+        skipped_shards(gather, world.replicas, 0, Random(seed))
+        for seed in range(100)
+    ]
+    assert all(len(each) <= 2 for each in skipped)
+    assert sum(map(len, skipped)) > 150
+    assert set().union(*skipped) == set(shards[:4])
+
+
+def test_shards_that_an_answer_can_lack_are_asked_all_the_same():
+    shards = tuple('s{0}'.format(number) for number in range(20))
+    world = World(dict.fromkeys(shards, 1))
+    throttle = world.replicas.of('s0')[0].throttle
+    for _ in range(20):
+        throttle.send(0)
+    gather = Gather(shards, 5, 0.89)
+    assert not skipped_shards(gather, world.replicas, 0, Random(1))
+
+
+def test_query_is_hopeless_only_without_any_sign_of_too_many_shards():
+    shards = tuple('s{0}'.format(number) for number in range(10))
+    world = World(dict.fromkeys(shards, 2))
+    gather = Gather(shards, 5, 0.9)
+    for replica in world.replicas:
+        if replica.record.service in shards[:2]:
+            replica.throttle.send(0)
+            replica.throttle.send(100)
+    assert not unreachable_shards(gather, world.replicas, 400)
+    assert unreachable_shards(gather, world.replicas, 600) == shards[:2]
+    world.replicas.of('s0')[0].throttle.hear()
+    assert not unreachable_shards(gather, world.replicas, 600)
