--- a/src/dandelionstage/platform/node.py
+++ b/src/dandelionstage/platform/node.py
@@ -7,7 +7,7 @@
 from typing import Final, final
 
 from ..catalog.routes import CallerLimits, RouteTable
-from ..catalog.servers import ServerRecord
+from ..catalog.servers import ServerId, ServerRecord
 from ..gateway.callers import CallerPort
 from ..gateway.clock import now_ms
 from ..gateway.ending import EndLimits, Ending
@@ -84,7 +84,7 @@
         settings = self._settings_file.settings
         catalog = self._sources.catalog
         catalog.on_server.append(self._keep_server)
-        catalog.on_gone.append(self._replicas.drop)
+        catalog.on_gone.append(self._drop_server)
         catalog.on_routes.append(self._note_routes)
         stack.callback(self._log.flush)
         stack.callback(self._log.event, 'stopped')
@@ -141,6 +141,10 @@
         )
         self._replicas.keep(record, now_ms())
 
+    def _drop_server(self, server: ServerId) -> None:
+        self._log.event('server_gone', server=server)
+        self._replicas.drop(server)
+
     def _note_routes(self, routes: RouteTable) -> None:
         self._log.event(
             'routes_in_force', version=routes.version, routes=len(routes)
--- /dev/null
+++ b/tests/test_platform_folder.py
@@ -0,0 +1,82 @@
+"""The platform's names stay in its folder, and its build is pinned."""
+
+import re
+import tomllib
+from pathlib import Path
+
+import msgspec
+import pytest
+
+from dandelionstage.platform.names import METRICS_PORT, METRICS_TARGET
+from dandelionstage.platform.settings_file import SettingsError, SettingsFile
+from tools.standins.platform.place import boot_settings
+
+ROOT = Path(__file__).parent.parent
+PACKAGE = ROOT / 'src' / 'dandelionstage'
+NAMES = re.compile(
+    'trafficSplit|routeType|targetLatency|minCoverage|topK|maxConnections|'
+    'warmupLeft|healthCheckPath|kv-watch|kv-range|op/config|'
+    'x-request-deadline|x-response-stamp|x-part-stamps|x-missing-parts|'
+    'x-target-instance|x-not-executed|asOf|hasMore|serializable|api/ready',
+    re.IGNORECASE,
+)
+
+
+def sources():
+    for path in PACKAGE.rglob('*.py'):
+        if 'platform' not in path.relative_to(PACKAGE).parts:
+            yield path
+
+
+def test_nothing_outside_the_folder_knows_the_platforms_names():
+    named = {
+        (path.name, found)
+        for path in sources()
+        for found in NAMES.findall(path.read_text())
+    }
+    assert not named
+
+
+def test_nothing_outside_the_folder_imports_it():
+    importing = re.compile(r'from \.+platform|dandelionstage\.platform')
+    texts = [path.read_text() for path in sources()]
+    assert not any(importing.search(text) for text in texts)
+
+
+def test_libraries_of_the_build_are_those_that_are_tested():
+    locked = (ROOT / 'requirements.txt').read_text().splitlines()
+    built = (ROOT / 'deploy' / 'requirements.txt').read_text().splitlines()
+    assert set(built) <= set(locked)
+
+
+def test_deploy_file_names_the_metrics_that_are_served():
+    deploy = tomllib.loads((ROOT / 'deploy' / 'system.toml').read_text())
+    metrics = '{0}{1}'.format(METRICS_PORT, METRICS_TARGET.decode())
+    assert deploy['roles']['gateway']['metrics'] == metrics
+
+
+@pytest.mark.parametrize(
+    ('text', 'named'),
+    [
+        ('{', 'truncated'),
+        ('{"nodeName": 3}', 'nodeName'),
+        ('{"nodeName": "a"}', 'missing required field'),
+    ],
+)
+def test_bad_settings_name_what_is_wrong(tmp_path, text, named):
+    path = tmp_path / 'boot.json'
+    path.write_text(text)
+    with pytest.raises(SettingsError, match=named):
+        SettingsFile(str(path))
+
+
+def test_missing_settings_file_is_named(tmp_path):
+    with pytest.raises(SettingsError, match='No such file'):
+        SettingsFile(str(tmp_path / 'none.json'))
+
+
+def test_watch_ends_within_the_stability_window(tmp_path):
+    path = tmp_path / 'boot.json'
+    settings = boot_settings(0, ['127.0.0.1'], 'a', '127.0.0.1:9')
+    path.write_bytes(msgspec.json.encode(settings))
+    assert SettingsFile(str(path)).settings.watch_ms == 3000
--- /dev/null
+++ b/tests/test_platform_nodes.py
@@ -0,0 +1,353 @@
+"""Gateways on a stand-in of the platform: real sockets, one process."""
+
+import asyncio
+import itertools
+from contextlib import asynccontextmanager
+from types import MappingProxyType
+
+import httpx
+import pytest
+
+from dandelionstage.gateway.ending import EndLimits
+from tools.standins.platform.place import FRONT_PORT, READY_PORT, Platform
+from tools.standins.platform.server import ServerMode
+from tools.standins.platform.store import StoreMode
+
+_ids = itertools.count(1)
+SHARDS = ('s1', 's2', 's3', 's4')
+QUERY = MappingProxyType(
+    {
+        'name': 'q',
+        'host': 'h.example',
+        'prefix': '/q/',
+        'routeType': 'safe',
+        'timeoutMs': 1500,
+        'targetLatencyMs': 300,
+        'priority': 1,
+        'attempts': 2,
+        'gather': list(SHARDS),
+        'topK': 3,
+        'minCoverage': 0.75,
+    }
+)
+ORDER = MappingProxyType(
+    {
+        'name': 'o',
+        'host': 'h.example',
+        'prefix': '/o/',
+        'routeType': 'unsafe',
+        'timeoutMs': 2000,
+        'targetLatencyMs': 400,
+        'priority': 2,
+        'attempts': 2,
+        'service': 'orders',
+    }
+)
+LOOK = MappingProxyType(
+    {**ORDER, 'name': 'l', 'prefix': '/l/', 'routeType': 'safe'}
+)
+
+
+@asynccontextmanager
+async def running(tmp_path, seed, vms=1, replicas=2):
+    async with Platform(seed, tmp_path) as platform:
+        platform.plan_hosts(vms)
+        for service in (*SHARDS, 'orders'):
+            for _ in range(replicas):
+                await platform.add_server(service)
+        platform.publish(3, [QUERY, ORDER])
+        nodes = [await platform.start_node(each) for each in range(vms)]
+        await platform.until(lambda: all(map(is_usable, nodes)))
+        yield platform, nodes
+
+
+def is_usable(node):
+    return node._sources.catalog.usable
+
+
+def version_at(node):
+    routes = node._sources.catalog.routes
+    return routes.version if routes else 0
+
+
+def url(node, path, port=FRONT_PORT):
+    host = node._settings_file.settings.ip
+    return 'http://{0}:{1}{2}'.format(host, port, path)
+
+
+async def ask(node, path, client=None, *, left_ms=1500, **more):
+    request_id = 'r{0}'.format(next(_ids))
+    headers = {
+        'Host': 'h.example',
+        'X-Request-Id': request_id,
+        'X-Request-Deadline': str(left_ms),
+    }
+    terms = {'method': 'GET', 'url': url(node, path), **more}
+    async with httpx.AsyncClient(timeout=10, trust_env=False) as own:
+        return await (client or own).request(headers=headers, **terms)
+
+
+def runs(platform, request_id=None):
+    return [
+        run
+        for server in platform.servers.values()
+        for run in server.runs
+        if request_id in {None, run.request}
+    ]
+
+
+def test_query_and_order_are_served(tmp_path):
+    async def scenario():
+        async with running(tmp_path, 1) as (platform, (node,)):
+            answer = await ask(node, '/q/x?y=1')
+            assert answer.status_code == 200
+            assert answer.headers['x-missing-parts'] == '0'
+            assert len(answer.headers['x-part-stamps'].split(',')) == 4
+            assert len(answer.content) == 48
+            body = b'blank' * 20
+            order = await ask(node, '/o/x', method='POST', content=body)
+            assert order.status_code == 200
+            run = next(each for each in runs(platform) if each.method == 'POST')
+            assert (run.target, run.body) == ('/o/x', body)
+            assert 1000 < run.time_left_ms <= 1500
+
+    asyncio.run(scenario())
+
+
+def test_connections_are_kept_on_both_sides(tmp_path):
+    async def scenario():
+        async with running(tmp_path, 2, replicas=1) as (platform, (node,)):
+            async with httpx.AsyncClient(trust_env=False) as client:
+                for _ in range(30):
+                    answer = await ask(node, '/q/x', client)
+                    assert answer.status_code == 200
+            accepted = sum(
+                server.port.accepted for server in platform.servers.values()
+            )
+            assert accepted <= len(SHARDS) * 2
+
+    asyncio.run(scenario())
+
+
+def test_dead_shard_is_left_out_and_said_so(tmp_path):
+    async def scenario():
+        async with running(tmp_path, 3) as (platform, (node,)):
+            for server in platform.servers.values():
+                if server.runs or server.server in {'i-1', 'i-2'}:
+                    server.mode = ServerMode.MUTE
+            answer = await ask(node, '/q/x')
+            assert answer.status_code == 200
+            assert answer.headers['x-missing-parts'] == '1'
+
+    asyncio.run(scenario())
+
+
+@pytest.mark.parametrize('mode', [ServerMode.LOSE, ServerMode.FAIL])
+def test_order_that_ran_is_not_sent_again(tmp_path, mode):
+    async def scenario():
+        async with running(tmp_path, 4) as (platform, (node,)):
+            for server in platform.servers.values():
+                server.mode = mode
+            order = await ask(node, '/o/x', method='POST', content=b'b')
+            assert order.status_code in {500, 502}
+            assert len(runs(platform)) == 1
+
+    asyncio.run(scenario())
+
+
+def test_order_that_all_refuse_has_not_run(tmp_path):
+    async def scenario():
+        async with running(tmp_path, 5) as (platform, (node,)):
+            for server in platform.servers.values():
+                server.mode = ServerMode.SHED
+            order = await ask(node, '/o/x', method='POST', content=b'b')
+            assert order.status_code == 503
+            assert float(order.headers['retry-after']) > 0
+            assert not runs(platform)
+
+    asyncio.run(scenario())
+
+
+def test_stray_answer_is_never_given_to_a_caller(tmp_path):
+    async def scenario():
+        async with running(tmp_path, 6) as (platform, (node,)):
+            for server in platform.servers.values():
+                server.mode = ServerMode.STRAY
+            for _ in range(5):
+                answer = await ask(node, '/q/x')
+                assert answer.status_code == 200
+                assert b'x' * 16 not in answer.content
+
+    asyncio.run(scenario())
+
+
+@pytest.mark.parametrize('path', ['/q/x', '/l/x'])
+def test_nobody_works_on_for_a_caller_that_left(tmp_path, path):
+    """Within half a second of its leaving."""
+
+    async def scenario():
+        async with running(tmp_path, 7) as (platform, (node,)):
+            platform.publish(4, [QUERY, LOOK])
+            await platform.until(lambda: version_at(node) == 4)
+            servers = platform.servers.values()
+            for slow in servers:
+                slow.work_ms = 5000
+            asking = asyncio.create_task(ask(node, path, left_ms=30000))
+            await platform.until(lambda: runs(platform))
+            asking.cancel()
+            await platform.until(
+                lambda: not any(server.at_work for server in servers),
+                timeout_s=0.5,
+            )
+
+    asyncio.run(scenario())
+
+
+def test_vms_learn_from_each_other_and_two_of_them_read(tmp_path):
+    async def scenario():
+        async with running(tmp_path, 8, vms=6) as (platform, nodes):
+            await platform.until(
+                lambda: all(
+                    len(node._sources.spread.members) == 6 for node in nodes
+                )
+            )
+            await asyncio.sleep(1)
+            before = dict(platform.store.calls)
+            platform.publish(4, [QUERY])
+            await platform.until(
+                lambda: all(version_at(node) == 4 for node in nodes),
+                timeout_s=2,
+            )
+            reads = sum(platform.store.calls.values()) - sum(before.values())
+            assert reads <= 8
+
+    asyncio.run(scenario())
+
+
+def test_process_that_starts_while_the_store_is_away_asks_its_peers(tmp_path):
+    async def scenario():
+        async with running(tmp_path, 9, vms=1) as (platform, (node,)):
+            platform.plan_hosts(2)
+            platform.store.mode = StoreMode.SILENT
+            platform.store.cut_all()
+            late = await platform.start_node(1)
+            await platform.until(lambda: is_usable(late), timeout_s=2)
+            assert version_at(late) == version_at(node) == 3
+
+    asyncio.run(scenario())
+
+
+def test_without_store_or_peers_nothing_is_ready_and_nothing_denied(tmp_path):
+    async def scenario():
+        async with Platform(10, tmp_path) as platform:
+            platform.plan_hosts(1)
+            platform.store.mode = StoreMode.RESET
+            node = await platform.start_node(0)
+            answer = await ask(node, '/q/x')
+            assert answer.status_code == 503
+            assert 'retry-after' in answer.headers
+            async with httpx.AsyncClient(trust_env=False) as client:
+                ready = await client.get(url(node, '/api/ready', READY_PORT))
+            assert ready.status_code == 503
+
+    asyncio.run(scenario())
+
+
+@pytest.mark.parametrize('mode', list(StoreMode)[1:])
+def test_store_that_fails_and_returns_is_followed_again(tmp_path, mode):
+    async def scenario():
+        async with running(tmp_path, 11, vms=2) as (platform, nodes):
+            platform.store.mode = mode
+            platform.store.cut_all()
+            await asyncio.sleep(0.5)
+            platform.publish(5, [QUERY])
+            platform.store.mode = StoreMode.WELL
+            await platform.until(
+                lambda: all(version_at(node) == 5 for node in nodes),
+                timeout_s=4,
+            )
+
+    asyncio.run(scenario())
+
+
+def test_history_that_is_gone_is_read_anew(tmp_path):
+    async def scenario():
+        async with running(tmp_path, 12) as (platform, (node,)):
+            platform.publish(6, [QUERY])
+            platform.store.remove('servers/i-1')
+            platform.store.forget_history()
+            await platform.until(
+                lambda: (
+                    version_at(node) == 6
+                    and 'i-1' not in node._sources.catalog.servers
+                ),
+                timeout_s=5,
+            )
+
+    asyncio.run(scenario())
+
+
+def test_draining_server_gets_nothing_more(tmp_path):
+    async def scenario():
+        async with running(tmp_path, 13) as (platform, (node,)):
+            server = platform.servers['i-1']
+            platform.store.put(
+                'servers/i-1', server.entry('s1', 'a', state='draining')
+            )
+            await platform.until(lambda: not node._replicas.replica('i-1'))
+            before = server.arrivals
+            for _ in range(10):
+                assert (await ask(node, '/q/x')).status_code == 200
+            assert server.arrivals == before
+
+    asyncio.run(scenario())
+
+
+def test_entries_that_cannot_be_read_cost_nothing_else(tmp_path):
+    async def scenario():
+        async with running(tmp_path, 14) as (platform, (node,)):
+            server = platform.servers['i-1']
+            for number, entry in enumerate(
+                (
+                    b'\xff not json',
+                    {'service': 's1'},
+                    server.entry('s1', 'a', slots='two'),
+                    server.entry('s1', 'a', state='odd'),
+                    server.entry('s1', 'a', address='nowhere'),
+                ),
+            ):
+                platform.store.put('servers/bad-{0}'.format(number), entry)
+            platform.publish(7, [QUERY])
+            await platform.until(lambda: version_at(node) == 7)
+            assert len(node._sources.catalog.servers) == 10
+            lines = platform.lines['front-a-0']
+            unreadable = [
+                line['key']
+                for line in lines
+                if line['event'] == 'entry_unreadable'
+            ]
+            assert len(unreadable) == 5
+
+    asyncio.run(scenario())
+
+
+def test_stop_cuts_nobody_and_closes_kept_connections_in_order(tmp_path):
+    async def scenario():
+        async with running(tmp_path, 15) as (platform, (node,)):
+            for server in platform.servers.values():
+                server.work_ms = 200
+            async with httpx.AsyncClient(trust_env=False) as client:
+                assert (await ask(node, '/o/x', client)).status_code == 200
+                asking = asyncio.create_task(ask(node, '/q/x'))
+                await platform.until(lambda: node._callers.in_progress == 1)
+                node.stop()
+                ready = await client.get(url(node, '/api/ready', READY_PORT))
+                assert ready.status_code == 503
+                kept = await ask(node, '/o/x', client)
+                assert kept.status_code == 200
+                assert kept.headers['connection'] == 'close'
+                assert (await asking).status_code == 200
+            longest_ms = EndLimits().not_ready_ms + EndLimits().draining_ms
+            await asyncio.wait_for(node.stopped(), longest_ms / 1000 + 0.5)
+
+    asyncio.run(scenario())
--- /dev/null
+++ b/tools/standins/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins of the users' platform: its store and its backend servers."""
--- /dev/null
+++ b/tools/standins/platform/server.py
@@ -0,0 +1,161 @@
+"""A stand-in of one of the platform's backend servers."""
+
+import asyncio
+from contextlib import AsyncExitStack
+from dataclasses import dataclass
+from enum import Enum, unique
+from http import HTTPStatus
+from typing import Final, final
+
+from dandelionstage.lifecycle.owning import Owner
+
+from .http_port import Asked, HttpPort
+
+__all__ = ('PlatformServer', 'Run', 'ServerMode')
+
+_MS_PER_S: Final = 1000
+_RECORD_BYTES: Final = 16
+_STRAY_BODY: Final = b'x' * _RECORD_BYTES
+
+
+@unique
+class ServerMode(Enum):
+    """How requests are treated."""
+
+    WELL = 'well'
+    #: Refuses as not run.
+    SHED = 'shed'
+    #: Runs, then fails.
+    FAIL = 'fail'
+    #: Runs, and the answer is lost with the connection.
+    LOSE = 'lose'
+    #: Takes requests and never answers.
+    MUTE = 'mute'
+    #: Sends an answer to another request first.
+    STRAY = 'stray'
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class Run:
+    """A request that the server began to work on."""
+
+    request: str
+    method: str
+    target: str
+    body: bytes
+    time_left_ms: float
+
+
+@final
+class PlatformServer(Owner):
+    """Works with a number of slots and notes what it ran.
+
+    :ivar mode: how requests are treated; may be changed at any time.
+    :ivar work_ms: time that one request takes.
+    :ivar runs: every request that it began.
+    :ivar arrivals: requests received, refused ones too.
+    :ivar at_work: requests that it works on now.
+    """
+
+    def __init__(self, server: str, address: tuple[str, int]) -> None:
+        """Start well."""
+        self.mode = ServerMode.WELL
+        self.work_ms: float = 1
+        self.server = server
+        self.runs: list[Run] = []
+        self.arrivals = 0
+        self.at_work = 0
+        self.address = '{0}:{1}'.format(*address)
+        self._slots = asyncio.Semaphore(2)
+        self.port = HttpPort(*address, self._serve)
+
+    def entry(
+        self, service: str, zone: str, **more: object
+    ) -> dict[str, object]:
+        """Return what the server writes to the store of itself."""
+        return {
+            'service': service,
+            'address': self.address,
+            'zone': zone,
+            'version': 'v1',
+            'slots': 2,
+            'state': 'ready',
+            'warmupLeftMs': 0,
+            'seq': 1,
+            'born': 1,
+            **more,
+        }
+
+    async def _open(self, stack: AsyncExitStack) -> None:
+        await stack.enter_async_context(self.port)
+
+    async def _serve(self, asked: Asked) -> bytes:
+        self.arrivals += 1
+        request = asked.headers.get('x-request-id', '')
+        if asked.headers.get('x-target-instance') != self.server:
+            return _refusal(HTTPStatus.MISDIRECTED_REQUEST, request)
+        if self.mode is ServerMode.SHED:
+            return _refusal(HTTPStatus.SERVICE_UNAVAILABLE, request)
+        self.at_work += 1
+        try:
+            return await self._run(asked, request)
+        finally:
+            self.at_work -= 1
+
+    async def _run(self, asked: Asked, request: str) -> bytes:
+        left_ms = float(asked.headers['x-request-deadline'])
+        async with self._slots:
+            self.runs.append(
+                Run(request, asked.method, asked.target, asked.body, left_ms)
+            )
+            if self.mode is ServerMode.MUTE:
+                await asyncio.Event().wait()
+            await asyncio.sleep(min(self.work_ms, left_ms) / _MS_PER_S)
+        if self.work_ms > left_ms:
+            return _reply(
+                HTTPStatus.GATEWAY_TIMEOUT, request, stamp=self._stamp()
+            )
+        return self._finished(request)
+
+    def _finished(self, request: str) -> bytes:
+        if self.mode is ServerMode.LOSE:
+            return b'reset'
+        if self.mode is ServerMode.FAIL:
+            return _reply(
+                HTTPStatus.INTERNAL_SERVER_ERROR, request, stamp=self._stamp()
+            )
+        name = self._stamp().encode()
+        body = name.ljust(_RECORD_BYTES, b'.')[:_RECORD_BYTES] * 2
+        whole = _reply(HTTPStatus.OK, request, body, stamp=self._stamp())
+        if self.mode is ServerMode.STRAY:
+            return _reply(HTTPStatus.OK, 'another', _STRAY_BODY) + whole
+        return whole
+
+    def _stamp(self) -> str:
+        return '{0}.{1}'.format(self.server, len(self.runs))
+
+
+def _refusal(status: HTTPStatus, request: str) -> bytes:
+    """Say that a request was not run."""
+    return _reply(status, request, not_run=True)
+
+
+def _reply(
+    status: HTTPStatus,
+    request: str,
+    body: bytes = b'',
+    *,
+    stamp: str = '',
+    not_run: bool = False,
+) -> bytes:
+    lines = ['HTTP/1.1 {0} {1}'.format(status.value, status.phrase)]
+    lines.append('X-Request-Id: {0}'.format(request))
+    lines.append('Content-Length: {0}'.format(len(body)))
+    lines.append('Keep-Alive: timeout=10')
+    if stamp:
+        lines.append('X-Response-Stamp: {0}'.format(stamp))
+    if not_run:
+        lines.append('X-Not-Executed: 1')
+    head = '\r\n'.join((*lines, '', ''))
+    return head.encode() + body
