VMs tell each other of slow servers; orders mark a slow server early

Cause: each VM had to meet the slow server itself, and an order told only when it was done. Ruled out: the wait for a connection (sent at once, by the log). Change: hellos carry what a VM has just met itself; nothing heard is told on; an order that is out for long marks its server.

--- a/src/dandelionstage/gateway/single_run.py
+++ b/src/dandelionstage/gateway/single_run.py
@@ -58,10 +58,7 @@
         """Send the request to one server."""
         self._request.on_gone = self.cancel
         self._tools.budgets.earn(self._service, self._tools.now_ms())
-        self._timer.call_at(
-            self._pace.hedge_ms if self._is_safe else self._pace.end_ms,
-            self._hedge if self._is_safe else self._run_out,
-        )
+        self._timer.call_at(self._pace.hedge_ms, self._hedge)
         if not self._ask():
             self._turn_away('no server of the service is known')
 
@@ -139,14 +136,15 @@
         return is_free or self._sender.take_extra(self._service, 'retry')
 
     def _hedge(self) -> None:
-        """Ask a second server when the first is slow."""
+        """Ask a second server when the first is slow, if that is allowed."""
+        for attempt in self._out:
+            self._sender.lessons.note_slow(attempt)
         may_ask = (
-            len(self._out) == 1
+            self._is_safe
+            and len(self._out) == 1
             and len(self._tried) < self._route.attempts
-            and self._answer.is_due
         )
         if may_ask:
-            self._sender.lessons.note_slow(self._out[0])
             has_other = self._tools.replicas.choose(
                 self._service, self._tools.now_ms(), self._tried
             )
--- a/src/dandelionstage/placing/slowness.py
+++ b/src/dandelionstage/placing/slowness.py
@@ -19,22 +19,27 @@
 #: A single reply says little beyond this.
 _SLOWEST: Final = 16.0
 _USUAL: Final = 1.0
+#: Own experience is told to other VMs, and preferred to theirs, while it is
+#: this fresh; so nothing heard is told on and no rumour lives for ever.
+_FRESH_MS: Final = 1500.0
+_TOLD_LEAST: Final = 2.5
 
 
 @final
-class Slowness:
+class Slowness:  # noqa: WPS214 -- one estimate, short methods
     """A moving ratio of observed to usual time; 1 is as usual.
 
     Failures count as very slow, more so in a row.
     """
 
-    __slots__ = ('_failures', '_heard_ms', '_ratio')
+    __slots__ = ('_failures', '_heard_ms', '_own_ms', '_ratio')
 
     def __init__(self) -> None:
         """Start as usual."""
         self._ratio = _USUAL
         self._heard_ms: float = 0
         self._failures = 0
+        self._own_ms = float('-inf')
 
     def ratio(self, now_ms: float) -> float:
         """Estimate how much slower than usual the next answer will be."""
@@ -59,9 +64,24 @@
         self._failures += 1
         self._ratio = max(self.ratio(now_ms), penalty)
         self._heard_ms = now_ms
+        self._own_ms = now_ms
+
+    def told_ratio(self, now_ms: float) -> float | None:
+        """Return what is worth telling other VMs: own fresh experience."""
+        if now_ms - self._own_ms > _FRESH_MS:
+            return None
+        ratio = self.ratio(now_ms)
+        return ratio if ratio >= _TOLD_LEAST else None
+
+    def heed(self, ratio: float, now_ms: float) -> None:
+        """Take in what another VM experienced, unless this one knows."""
+        if now_ms - self._own_ms > _FRESH_MS and ratio > self.ratio(now_ms):
+            self._ratio = min(ratio, _SLOWEST)
+            self._heard_ms = now_ms
 
     def _move(self, observed: float, now_ms: float) -> None:
         before = self.ratio(now_ms)
         weight = _WORSE_WEIGHT if observed > before else _BETTER_WEIGHT
         self._ratio = before + weight * (observed - before)
         self._heard_ms = now_ms
+        self._own_ms = now_ms
--- a/src/dandelionstage/platform/node.py
+++ b/src/dandelionstage/platform/node.py
@@ -21,6 +21,7 @@
 from ..placing.allowance import links_allowed
 from ..placing.extra_budget import ExtraBudgets
 from ..placing.replicas import Replicas
+from ..placing.slow_news import heed_slow, tell_slow
 from ..spread.frames import host_and_port
 from .names import HEADERS, METRICS_PORT, METRICS_TARGET, READY_TARGET
 from .settings import BootSettings
@@ -85,6 +86,11 @@
         settings = self._settings_file.settings
         catalog = self._sources.catalog
         catalog.on_server.append(self._keep_server)
+        spread = self._sources.spread
+        spread.tell_slow = lambda: tell_slow(self._replicas, now_ms())
+        spread.heed_slow = lambda told: heed_slow(
+            self._replicas, told, now_ms()
+        )
         catalog.on_gone.append(self._drop_server)
         catalog.on_routes.append(self._note_routes)
         stack.callback(self._log.flush)
--- a/src/dandelionstage/spread/messages.py
+++ b/src/dandelionstage/spread/messages.py
@@ -1,5 +1,6 @@
 """What VMs tell each other."""
 
+from collections.abc import Sequence
 from typing import Final, final
 
 import msgspec
@@ -39,6 +40,8 @@
 
     :ivar as_of: the store's revision that the sender knows everything to.
     :ivar wants_reply: asks for a hello in return.
+    :ivar slow: servers that the sender has just met slow, and how many
+        times slower than usual.
     """
 
     protocol: int
@@ -49,6 +52,7 @@
     is_leaving: bool
     wants_reply: bool
     known: list[Known]
+    slow: Sequence[tuple[str, float]]
 
 
 @final
--- a/src/dandelionstage/spread/node.py
+++ b/src/dandelionstage/spread/node.py
@@ -1,7 +1,7 @@
 """Tells other VMs who is there and how much of the store is known."""
 
 import asyncio
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable, Iterator
 from contextlib import AsyncExitStack
 from random import Random
 from typing import Any, Final, cast, final
@@ -9,10 +9,12 @@
 import msgspec
 
 from ..catalog.catalog import Catalog
+from ..catalog.servers import ServerId
 from ..gateway.clock import now_ms
 from ..lifecycle.owning import Owner
 from ..model.ids import VmId
 from ..operations.events import EventLog
+from ..placing.slow_news import SlowServer
 from .frames import host_and_port
 from .members import Address, Members
 from .messages import PROTOCOL, Hello, Known, decode_hello, encode
@@ -42,6 +44,8 @@
 
     :ivar members: the VMs known.
     :ivar is_leaving: whether this VM is stopping.
+    :ivar tell_slow: lists the servers that this VM has met slow.
+    :ivar heed_slow: takes in what another VM has met.
     """
 
     def __init__(
@@ -64,6 +68,8 @@
         self._catalog = catalog
         self._log = log
         self._random = random
+        self.tell_slow: Callable[[], list[SlowServer]] = list
+        self.heed_slow: Callable[[list[SlowServer]], None] = _heed_none
         self._puller = Puller(catalog, log, self.tell_news)
         self._seeds: tuple[Address, ...] = ()
         self._transport: asyncio.DatagramTransport | None = None
@@ -95,8 +101,16 @@
             self._meet(hello)
 
     def _meet(self, hello: Hello) -> None:
-        at_ms = now_ms()
         sender = Address(VmId(hello.vm))
+        self._hear(sender, hello)
+        if hello.wants_reply:
+            self._say_hello(sender, wants_reply=False)
+        self._puller.note(sender, hello.as_of)
+        self.heed_slow(_as_slow(hello))
+
+    def _hear(self, sender: Address, hello: Hello) -> None:
+        """Take in who is there."""
+        at_ms = now_ms()
         has_store = hello.has_store and not hello.is_leaving
         is_new = self.members.hear(
             sender, hello.data_centre, at_ms, has_store=has_store
@@ -112,23 +126,10 @@
             self._log.event(
                 'peer_found', peer=sender, members=len(self.members)
             )
-        if hello.wants_reply:
-            self._say_hello(sender, wants_reply=False)
-        self._puller.note(sender, hello.as_of)
 
     def _say_hello(self, vm: Address, *, wants_reply: bool) -> None:
         if self._transport is None or self._transport.is_closing():
             return
-        at_ms = now_ms()
-        known = [
-            Known(
-                other,
-                seen.data_centre,
-                max(0, int(at_ms - seen.heard_ms)),
-                seen.has_store,
-            )
-            for other, seen in self.members.sample(_KNOWN_TOLD, self._random)
-        ]
         hello = Hello(
             PROTOCOL,
             self._own,
@@ -137,10 +138,17 @@
             self.members.has_store,
             self.is_leaving,
             wants_reply,
-            known,
+            list(self._list_known()),
+            list(self.tell_slow()),
         )
         self._transport.sendto(encode(hello), host_and_port(vm))
 
+    def _list_known(self) -> Iterator[Known]:
+        at_ms = now_ms()
+        for vm, seen in self.members.sample(_KNOWN_TOLD, self._random):
+            age_ms = max(0, int(at_ms - seen.heard_ms))
+            yield Known(vm, seen.data_centre, age_ms, seen.has_store)
+
     async def _open(self, stack: AsyncExitStack) -> None:
         loop = asyncio.get_running_loop()
         transport, _protocol = await loop.create_datagram_endpoint(
@@ -182,6 +190,14 @@
         return self._random.sample(lost, min(1, len(lost)))
 
 
+def _as_slow(hello: Hello) -> list[SlowServer]:
+    return [(ServerId(name), ratio) for name, ratio in hello.slow]
+
+
+def _heed_none(told: list[SlowServer]) -> None:
+    """Take in nothing: no servers are used here."""
+
+
 @final
 class _Datagrams(asyncio.DatagramProtocol):
     """Hands datagrams to the node."""
--- a/tests/test_placing.py
+++ b/tests/test_placing.py
@@ -13,6 +13,7 @@
     skipped_shards,
     unreachable_shards,
 )
+from dandelionstage.placing.slow_news import heed_slow, tell_slow
 from dandelionstage.placing.slowness import Slowness
 from dandelionstage.placing.throttle import Throttle
 
@@ -157,3 +158,24 @@
     assert unreachable_shards(gather, world.replicas, 600) == shards[:2]
     world.replicas.of('s0')[0].throttle.hear()
     assert not unreachable_shards(gather, world.replicas, 600)
+
+
+def test_slow_server_is_avoided_by_vms_that_never_met_it():
+    """Load pattern: many VMs, each with too few requests to notice."""
+    met, other = World({'s': 2}), World({'s': 2}, seed=2)
+    met.replicas.replica('s-0').slowness.observe(10, 0)
+    heed_slow(other.replicas, tell_slow(met.replicas, 500), 700)
+    assert other.replicas.choose('s', 700).record.server == 's-1'
+
+
+def test_what_was_only_heard_is_not_told_on_and_own_experience_wins():
+    met, other = World({'s': 2}), World({'s': 2})
+    met.replicas.replica('s-0').slowness.observe(10, 0)
+    told = tell_slow(met.replicas, 100)
+    heed_slow(other.replicas, told, 200)
+    assert not tell_slow(other.replicas, 200)
+    own = other.replicas.replica('s-1').slowness
+    own.observe(1, 300)
+    heed_slow(other.replicas, [('s-1', 9), ('unknown', 9)], 400)
+    assert own.ratio(400) == 1
+    assert not tell_slow(met.replicas, 5000)
--- a/tests/test_single_run.py
+++ b/tests/test_single_run.py
@@ -67,6 +67,18 @@
     assert len(world.sent('s')) == 1
 
 
+def test_slow_server_is_known_before_its_order_is_done():
+    """Incident of erbovna: orders went on to a server ten times slow."""
+    world = World({'s': 2})
+    start(world)
+    slow = world.out('s')[0].server
+    world.timers.advance(500)
+    chosen = world.replicas.choose('s', world.timers.now_ms)
+    assert chosen.record.server != slow
+    assert world.replicas.replica(slow).slowness.ratio(500) > 2
+    assert len(world.sent('s')) == 1
+
+
 def test_no_answer_in_time_is_no_promise():
     world = World({'s': 2})
     start(world, timeout_ms=1000)
--- a/tools/bench/bare_links.py
+++ b/tools/bench/bare_links.py
@@ -19,10 +19,14 @@
 from dandelionstage.gateway.server_link import LinkState, ServerLink
 from dandelionstage.platform.names import HEADERS
 
-__all__ = ('QUERIES', 'WARM_UP', 'main', 'offer', 'query_head')
+__all__ = ('QUERIES', 'WARM_UP', 'Ask', 'caller', 'main', 'offer')
+
+#: Asks one query, by its request id, and waits for the answer.
+Ask = Callable[[str], Awaitable[None]]
 
 QUERIES: Final = 1500
 WARM_UP: Final = 100
+_LENGTH: Final = b'content-length: '
 _RATE_PER_S: Final = 100.0
 _SEED: Final = 5
 _HEAD: Final = (
@@ -31,12 +35,25 @@
 )
 
 
-def query_head(request_id: str, more: str = '') -> bytes:
+def _query_head(request_id: str, more: str = '') -> bytes:
     """Write a query as callers and the gateway do."""
     return _HEAD.format(request_id, more).encode()
 
 
-async def offer(ask: Callable[[str], Awaitable[None]]) -> None:
+async def caller(host: str, port: int) -> Ask:
+    """Connect to a gateway and return what asks it one query."""
+    reader, writer = await asyncio.open_connection(host, port)
+
+    async def ask(request_id: str) -> None:  # noqa: WPS430 -- a closure
+        writer.write(_query_head(request_id))
+        head = await reader.readuntil(b'\r\n\r\n')
+        length = head.lower().partition(_LENGTH)[2].split()[0]
+        await reader.readexactly(int(length))
+
+    return ask
+
+
+async def offer(ask: Ask) -> None:
     """Offer queries at random times, each after the one before it."""
     random = Random(_SEED)
     for number in range(QUERIES):
@@ -73,7 +90,7 @@
 
     def _attempt(self, request_id: str, name: str) -> Attempt:
         target = 'X-Target-Instance: {0}\r\n'.format(name)
-        sent = query_head(request_id, target)
+        sent = _query_head(request_id, target)
         return Attempt(
             ServerId(name), request_id.encode(), lambda _left: sent, self._end
         )
--- a/tools/bench/gateway_cost.py
+++ b/tools/bench/gateway_cost.py
@@ -13,7 +13,6 @@
 import subprocess
 import sys
 import tempfile
-from collections.abc import Awaitable, Callable
 from pathlib import Path
 from types import MappingProxyType
 from typing import Final
@@ -23,7 +22,7 @@
 
 from tools.standins.platform.place import FRONT_PORT, Platform
 
-from .bare_links import QUERIES, WARM_UP, offer, query_head
+from .bare_links import QUERIES, WARM_UP, Ask, caller, offer
 
 __all__ = ('main',)
 
@@ -45,23 +44,14 @@
 )
 _SEED: Final = 5
 _US_PER_S: Final = 1_000_000
+#: Microseconds of each sub-request in a second of all.
+_US_EACH: Final = _US_PER_S / (QUERIES * _SHARD_COUNT)
 #: Until the gateway listens and knows the servers.
 _START_S: Final = 2
-_LENGTH: Final = b'content-length: '
-
-_Ask = Callable[[str], Awaitable[None]]
-
-
-async def _caller(host: str) -> _Ask:
-    reader, writer = await asyncio.open_connection(host, FRONT_PORT)
-
-    async def ask(request_id: str) -> None:  # noqa: WPS430 -- a closure
-        writer.write(query_head(request_id))
-        head = await reader.readuntil(b'\r\n\r\n')
-        length = head.lower().partition(_LENGTH)[2].split()[0]
-        await reader.readexactly(int(length))
-
-    return ask
+_SHOWN: Final = (
+    'gateway {0:.0f} us a sub-request, callers included; '
+    'bare scatter {1:.0f} us; ratio {2:.2f}\n'
+)
 
 
 async def _gateway_s(platform: Platform, host: str) -> float:
@@ -75,12 +65,12 @@
     )
     await asyncio.sleep(_START_S)
     try:
-        return await _served_s(process.pid, await _caller(host))
+        return await _served_s(process.pid, await caller(host, FRONT_PORT))
     finally:
         process.kill()
 
 
-async def _served_s(pid: int, ask: _Ask) -> float:
+async def _served_s(pid: int, ask: Ask) -> float:
     for number in range(WARM_UP):
         await ask('w{0}'.format(number))
     before_s = _processor_s(pid)
@@ -94,20 +84,21 @@
 
 
 async def _bare_s(platform: Platform) -> float:
-    servers = {
-        name: server.address for name, server in platform.servers.items()
-    }
     bare = await asyncio.create_subprocess_exec(
         sys.executable,
         '-m',
         'tools.bench.bare_links',
-        json.dumps(servers),
+        json.dumps(_addresses(platform)),
         stdout=subprocess.PIPE,
     )
     printed, _errors = await bare.communicate()
     return float(printed)
 
 
+def _addresses(platform: Platform) -> dict[str, str]:
+    return {name: each.address for name, each in platform.servers.items()}
+
+
 async def _measure(folder: Path) -> tuple[float, float]:
     async with Platform(_SEED, folder) as platform:
         host = platform.plan_hosts(1)[0]
@@ -122,11 +113,9 @@
     """Print the cost of a sub-request in both, and their ratio."""
     with tempfile.TemporaryDirectory() as folder:
         gateway_s, bare_s = uvloop.run(_measure(Path(folder)))
-    us = _US_PER_S / (QUERIES * len(_SHARDS))
     sys.stdout.write(
-        'gateway {0:.0f} us a sub-request, callers included; '
-        'bare scatter {1:.0f} us; ratio {2:.2f}\n'.format(
-            gateway_s * us, bare_s * us, gateway_s / bare_s
+        _SHOWN.format(
+            gateway_s * _US_EACH, bare_s * _US_EACH, gateway_s / bare_s
         )
     )
 
