--- a/src/dandelionstage/gateway/ending.py
+++ b/src/dandelionstage/gateway/ending.py
@@ -11,6 +11,10 @@
 __all__ = ('EndLimits', 'Ending')
 
 _TICK_S: Final = 0.05
+#: The platform asks each second and takes a VM out after two refusals.
+_NOT_READY_MS: Final = 3000.0
+#: Kept for closing and for a slow core.
+_RESERVE_MS: Final = 900.0
 
 
 class Port(Protocol):
@@ -39,14 +43,19 @@
 class EndLimits:
     """How long each step of a stop may last.
 
-    :ivar not_ready_ms: until no new connection is sent here: the platform
-        asks each second and takes a VM out after two refusals.
-    :ivar draining_ms: after that for requests in progress; together with
-        the step before it less than the time until the process is killed.
+    :ivar not_ready_ms: until no new connection is sent here.
+    :ivar draining_ms: after that for requests in progress.
     """
 
-    not_ready_ms: float = 3200
-    draining_ms: float = 2300
+    not_ready_ms: float
+    draining_ms: float
+
+    @classmethod
+    def within(cls, grace_ms: float) -> 'EndLimits':
+        """Divide the time from the request to stop to the kill."""
+        not_ready_ms = min(_NOT_READY_MS, grace_ms / 2)
+        draining_ms = max(0, grace_ms - _RESERVE_MS - not_ready_ms)
+        return cls(not_ready_ms, draining_ms)
 
 
 @final
--- a/src/dandelionstage/gateway/gather_run.py
+++ b/src/dandelionstage/gateway/gather_run.py
@@ -325,6 +325,10 @@
             parts=self._parts,
             shards=len(self._shards),
             least_parts=self._gather.least_parts,
-            lacking=[shard.service for shard in self._shards if not shard.part],
+            lacking={
+                shard.service: shard.tried
+                for shard in self._shards
+                if not shard.part
+            },
             waited_ms=round(self._tools.now_ms() - self._request.arrived_ms, 1),
         )
--- a/src/dandelionstage/gateway/single_run.py
+++ b/src/dandelionstage/gateway/single_run.py
@@ -2,10 +2,11 @@
 
 from collections.abc import Callable
 from http import HTTPStatus
-from typing import Final, final
+from typing import Any, Final, final
 
 from ..catalog.routes import Route, ServiceId, Work
 from ..catalog.servers import ServerId
+from ..placing.replicas import Replica
 from .attempt import Attempt, Ending, Reply
 from .lessons import is_good, is_misdirected, outcome_of
 from .pacing import Pace
@@ -80,9 +81,7 @@
                 self._sender.give_up(attempt, is_slow=False)
 
     def _ask(self) -> bool:
-        replica = self._tools.replicas.choose(
-            self._service, self._tools.now_ms(), self._tried
-        )
+        replica = self._choose()
         if replica is None:
             return False
         self._tried.append(replica.record.server)
@@ -91,6 +90,11 @@
             self._out.append(attempt)
         return True
 
+    def _choose(self) -> Replica[Any] | None:
+        return self._tools.replicas.choose(
+            self._service, self._tools.now_ms(), self._tried
+        )
+
     def _end(self, attempt: Attempt, ending: Ending) -> None:
         self._sender.lessons.learn(attempt, ending)
         if attempt in self._out:
@@ -111,7 +115,8 @@
         self._log_failure(attempt, ending)
         if self._out:
             return
-        if self._may_repeat(attempt, ending) and self._ask():
+        if self._may_repeat(attempt, ending):
+            self._ask()
             return
         if isinstance(ending, Reply) and ending.ran and _is_final(ending):
             self._pass_back(ending)
@@ -128,7 +133,7 @@
                 return False
         if self._runs >= self._route.attempts:
             return False
-        if self._tools.now_ms() >= self._pace.end_ms:
+        if self._tools.now_ms() >= self._pace.end_ms or not self._choose():
             return False
         # Neither what was never sent nor what came to a wrong server is
         # load on the service.
@@ -145,10 +150,9 @@
             and len(self._tried) < self._route.attempts
         )
         if may_ask:
-            has_other = self._tools.replicas.choose(
-                self._service, self._tools.now_ms(), self._tried
-            )
-            if has_other and self._sender.take_extra(self._service, 'hedge'):
+            if self._choose() and self._sender.take_extra(
+                self._service, 'hedge'
+            ):
                 self._ask()
         if self._answer.is_due:
             self._timer.call_at(self._pace.end_ms, self._run_out)
--- a/src/dandelionstage/platform/node.py
+++ b/src/dandelionstage/platform/node.py
@@ -66,7 +66,8 @@
             self._caller_limits,
             Gateway(self._sources.catalog, tools, Pacing()).handle,
         )
-        self._ending = Ending(self._callers, EndLimits(), log)
+        grace_ms = settings.bounds.grace_s * _MS_PER_S
+        self._ending = Ending(self._callers, EndLimits.within(grace_ms), log)
 
     def stop(self) -> None:
         """Begin to stop; the callers' requests are finished first."""
--- a/tests/test_platform_nodes.py
+++ b/tests/test_platform_nodes.py
@@ -14,6 +14,7 @@
 from tools.standins.platform.store import StoreMode
 
 _ids = itertools.count(1)
+GRACE_S = 6
 SHARDS = ('s1', 's2', 's3', 's4')
 QUERY = MappingProxyType(
     {
@@ -347,7 +348,13 @@
                 assert kept.status_code == 200
                 assert kept.headers['connection'] == 'close'
                 assert (await asking).status_code == 200
-            longest_ms = EndLimits().not_ready_ms + EndLimits().draining_ms
-            await asyncio.wait_for(node.stopped(), longest_ms / 1000 + 0.5)
+            await asyncio.wait_for(node.stopped(), GRACE_S)
 
     asyncio.run(scenario())
+
+
+@pytest.mark.parametrize('grace_ms', [2000.0, 6000.0, 30000.0])
+def test_stop_ends_before_the_kill_and_cuts_nothing_much_sooner(grace_ms):
+    limits = EndLimits.within(grace_ms)
+    whole_ms = limits.not_ready_ms + limits.draining_ms
+    assert grace_ms * 5 / 6 <= whole_ms + 600 <= grace_ms
--- a/tools/standins/platform/place.py
+++ b/tools/standins/platform/place.py
@@ -148,6 +148,17 @@
         path.write_text(json.dumps(settings))
         return path
 
+    def write_logs(self) -> None:
+        """Write what each gateway logged to a file of its own."""
+        for vm, lines in self.lines.items():
+            path = self._folder / '{0}.log'.format(vm)
+            path.write_text('\n'.join(map(json.dumps, lines)))
+
+    def all_know_routes(self) -> bool:
+        """Whether every gateway has logged that routes are in force."""
+        kinds = [{line['event'] for line in own} for own in self.lines.values()]
+        return all('routes_in_force' in known for known in kinds)
+
     async def until(self, condition: Any, timeout_s: float = 10) -> None:
         """Wait until something holds.
 
