--- a/src/dandelionstage/spread/members.py
+++ b/src/dandelionstage/spread/members.py
@@ -23,6 +23,9 @@
 #: A VM that is gone for good still counts for shares of fleet-wide limits
 #: for this long: it may only be cut off from here.
 _COUNTED_MS: Final = 600_000.0
+#: VMs told of in one hello.
+_FIRST_TOLD: Final = 3
+_OTHERS_TOLD: Final = 3
 #: The name that VMs are ranked for to choose those that read.
 _READERS_NAME: Final = 'store readers'
 
@@ -101,12 +104,20 @@
         oldest_ms = now_ms - _ALIVE_MS - doublings * _ROUND_MS
         return [vm for vm in self._seen if self._is_heard(vm, oldest_ms)]
 
-    def sample(
-        self, count: int, random: Random
+    def to_tell(
+        self, now_ms: float, random: Random
     ) -> Iterator[tuple[Address, Sighting]]:
-        """Draw known VMs to tell others of."""
-        known = list(self._seen)
-        for vm in random.sample(known, min(count, len(known))):
+        """Choose VMs to tell another of.
+
+        Those first in order to read are told of each time, so that everybody
+        soon knows when one of them falls silent, and some others by lot.
+        """
+        first = [
+            vm for vm in self._rank(now_ms)[:_FIRST_TOLD] if vm in self._seen
+        ]
+        others = [vm for vm in self._seen if vm not in first]
+        count = min(_OTHERS_TOLD, len(others))
+        for vm in (*first, *random.sample(others, count)):
             yield vm, self._seen[vm]
 
     def is_reader(self, now_ms: float) -> bool:
--- a/src/dandelionstage/spread/node.py
+++ b/src/dandelionstage/spread/node.py
@@ -20,19 +20,20 @@
 from .messages import PROTOCOL, Hello, Known, decode_hello, encode
 from .pulls import Puller, PullPort
 
-__all__ = ('SpreadNode',)
+__all__ = ('FANOUT', 'LONGEST_ROUND_S', 'SHORTEST_ROUND_S', 'SpreadNode')
 
 #: A hello goes to this many VMs each round, so that news goes round in a
 #: number of rounds that is the logarithm of the fleet.  Rounds are spread
 #: between the shortest and the longest, so that no two VMs keep in step.
-_SHORTEST_ROUND_S: Final = 0.27
-_LONGEST_ROUND_S: Final = 0.53
-_FANOUT: Final = 2
+SHORTEST_ROUND_S: Final = 0.4
+LONGEST_ROUND_S: Final = 0.6
+FANOUT: Final = 2
 #: News is told at once to this many; with each telling on, fewer than 1 in
 #: 400 VMs miss it, and these have it from the next round.
 _NEWS_FANOUT: Final = 6
-#: Known VMs told of in one hello; keeps it within one packet.
-_KNOWN_TOLD: Final = 24
+#: Part of the rounds in which a VM that is not heard from is asked for a
+#: reply: a partition may be over.
+_LOST_FRACTION: Final = 0.25
 #: A VM that is new here asks for replies this often.
 _FIRST_ROUND_S: Final = 0.1
 _FIRST_ROUNDS: Final = 10
@@ -90,6 +91,22 @@
         self.members.has_store = False
         self.tell_news()
 
+    def hello(self, *, wants_reply: bool) -> bytes:
+        """Write what this VM tells another."""
+        return encode(
+            Hello(
+                PROTOCOL,
+                self._own,
+                self._data_centre,
+                self._catalog.as_of,
+                self.members.has_store,
+                self.is_leaving,
+                wants_reply,
+                list(self._list_known()),
+                list(self.tell_slow()),
+            )
+        )
+
     def receive(self, datagram: bytes) -> None:
         """Take in a hello."""
         try:
@@ -128,24 +145,13 @@
             )
 
     def _say_hello(self, vm: Address, *, wants_reply: bool) -> None:
-        if self._transport is None or self._transport.is_closing():
-            return
-        hello = Hello(
-            PROTOCOL,
-            self._own,
-            self._data_centre,
-            self._catalog.as_of,
-            self.members.has_store,
-            self.is_leaving,
-            wants_reply,
-            list(self._list_known()),
-            list(self.tell_slow()),
-        )
-        self._transport.sendto(encode(hello), host_and_port(vm))
+        if self._transport is not None and not self._transport.is_closing():
+            datagram = self.hello(wants_reply=wants_reply)
+            self._transport.sendto(datagram, host_and_port(vm))
 
     def _list_known(self) -> Iterator[Known]:
         at_ms = now_ms()
-        for vm, seen in self.members.sample(_KNOWN_TOLD, self._random):
+        for vm, seen in self.members.to_tell(at_ms, self._random):
             age_ms = max(0, int(at_ms - seen.heard_ms))
             yield Known(vm, seen.data_centre, age_ms, seen.has_store)
 
@@ -169,9 +175,10 @@
             await asyncio.sleep(_FIRST_ROUND_S)
         while True:
             self._say_hellos(self._draw(), wants_reply=False)
-            self._say_hellos(self._draw_lost(), wants_reply=True)
+            if self._random.random() < _LOST_FRACTION:
+                self._say_hellos(self._draw_lost(), wants_reply=True)
             self.members.forget(now_ms())
-            round_s = self._random.uniform(_SHORTEST_ROUND_S, _LONGEST_ROUND_S)
+            round_s = self._random.uniform(SHORTEST_ROUND_S, LONGEST_ROUND_S)
             await asyncio.sleep(round_s)
 
     def _say_hellos(self, vms: Iterable[Address], *, wants_reply: bool) -> None:
@@ -180,10 +187,10 @@
 
     def _draw(self) -> list[Address]:
         alive = self.members.alive(now_ms())
-        return self._random.sample(alive, min(_FANOUT, len(alive)))
+        return self._random.sample(alive, min(FANOUT, len(alive)))
 
     def _draw_lost(self) -> list[Address]:
-        """Draw one VM that is not heard from: a partition may be over."""
+        """Draw one VM that is not heard from."""
         alive = frozenset(self.members.alive(now_ms()))
         known = {*self._seeds, *self.members.known()}
         lost = sorted(known - alive)
--- a/tests/test_members_of_a_spread.py
+++ b/tests/test_members_of_a_spread.py
@@ -1,5 +1,7 @@
 """Who reads the store, and how the answer follows the faults."""
 
+from random import Random
+
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
@@ -80,3 +82,15 @@
     assert members.alive(2005) == ['b:1']
     assert not members.alive(2010)
     assert len(members.readers(2005)) == 2
+
+
+def test_readers_are_told_of_in_every_hello_of_a_large_fleet():
+    others = [
+        '10.1.{0}.{1}:1'.format(*divmod(each, 250)) for each in range(999)
+    ]
+    members = make('a:1', others)
+    readers = [vm for vm in members.readers(0) if vm != 'a:1']
+    for seed in range(20):
+        told = [vm for vm, _ in members.to_tell(0, Random(seed))]
+        assert set(readers) <= set(told)
+        assert len(told) <= 6
