--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -77,3 +77,14 @@
     missing = [module for module in modules if not place_of(module).exists()]
     assert modules
     assert not missing
+
+
+def test_every_event_of_the_gateway_is_explained():
+    package = ROOT / 'src' / 'dandelionstage'
+    written = set()
+    for path in package.rglob('*.py'):
+        calls = r"\.(?:event|take_extra|_log_end)\(\s*(?:[^()',]*,\s*)?'(\w+)'"
+        written |= set(re.findall(calls, path.read_text()))
+    explained = set(re.findall(r'`(\w+)`', OPERATIONS))
+    assert len(written) > 20
+    assert written <= explained
