--- a/src/dandelionstage/cli/main.py
+++ b/src/dandelionstage/cli/main.py
@@ -6,6 +6,7 @@
 from .contract_command import contract_app
 from .exit_codes import EXIT_CODES_HELP
 from .explain_command import explain
+from .log_report_command import log_report
 from .query_command import query
 from .report_command import report
 from .settings_command import settings_app
@@ -31,6 +32,7 @@
 app.command(epilog=EXIT_CODES_HELP)(status)
 app.command(epilog=EXIT_CODES_HELP)(report)
 app.command(epilog=EXIT_CODES_HELP)(explain)
+app.command('log-report', epilog=EXIT_CODES_HELP)(log_report)
 app.add_typer(contract_app, name='contract')
 app.add_typer(settings_app, name='settings')
 
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -46,3 +46,31 @@
     shown = CliRunner().invoke(app, ['explain', 'r9', missing])
     assert shown.exit_code == 2
     assert 'No such file' in shown.output
+
+
+def test_logs_are_summed_up_with_reasons_and_plots(tmp_path):
+    lines = [
+        {'at_ms': at, 'event': 'attempt_failed', 'vm': 'a', 'outcome': '503'}
+        for at in (0, 10, 5990)
+    ]
+    lines.append({'at_ms': 6000, 'event': 'started', 'vm': 'a'})
+    lines.append(
+        {'at_ms': 6000, 'event': 'lines_withheld', 'of': 'hedge', 'count': 7}
+    )
+    path = write(tmp_path / 'a.log', lines)
+    shown = CliRunner().invoke(app, ['log-report', path])
+    assert shown.exit_code == 0
+    shown_lines = shown.stdout.splitlines()
+    rows = {line.split()[0]: line for line in reversed(shown_lines)}
+    assert rows['attempt_failed'].split()[1] == '3'
+    plot = rows['attempt_failed'].partition('|')[2]
+    assert plot[0] == '█'
+    assert plot[59] == '▄'
+    assert not plot[1:59].strip()
+    assert 'attempt_failed: 503' in shown.stdout
+    assert rows['hedge'].split()[1] == '7'
+
+
+def test_logs_without_a_line_are_said(tmp_path):
+    shown = CliRunner().invoke(app, ['log-report', str(tmp_path / 'no.log')])
+    assert shown.exit_code == 2
