--- a/src/dandelionstage/cli/log_report_command.py
+++ b/src/dandelionstage/cli/log_report_command.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterator
 from dataclasses import asdict
 from pathlib import Path
-from typing import Annotated
+from typing import Annotated, Final
 
 import typer
 
@@ -15,6 +15,8 @@
 
 __all__ = ('log_report',)
 
+_HEAD: Final = ('event', 'count', 'over time')
+
 _Files = Annotated[
     list[Path],
     typer.Argument(help='Log files of one or more VMs; - for standard input.'),
@@ -40,9 +42,8 @@
 
 def _show(whole: LogReport) -> Iterator[str]:
     yield '{0:.1f} s of logs'.format(whole.seconds)
-    rows = [_row(whole, kind) for kind in whole.events]
-    yield from table(('event', 'count', 'over time'), rows)
-    reasons = [(name, str(count)) for name, count in whole.reasons.items()]
+    yield from table(_HEAD, [_row(whole, kind) for kind in whole.events])
+    reasons = [(name, str(whole.reasons[name])) for name in whole.reasons]
     yield from table(('reason', 'count'), reasons)
 
 
--- a/src/dandelionstage/gateway/single_run.py
+++ b/src/dandelionstage/gateway/single_run.py
@@ -142,19 +142,25 @@
 
     def _hedge(self) -> None:
         """Ask a second server when the first is slow, if that is allowed."""
-        for attempt in self._out:
-            self._sender.lessons.note_slow(attempt)
         may_ask = (
             self._is_safe
             and len(self._out) == 1
             and len(self._tried) < self._route.attempts
+            and self._choose() is not None
         )
-        if may_ask:
-            if self._choose() and self._sender.take_extra(
-                self._service, 'hedge'
-            ):
-                self._ask()
-        if self._answer.is_due:
+        if may_ask and self._sender.take_extra(self._service, 'hedge'):
+            self._ask()
+        self._watch()
+
+    def _watch(self) -> None:
+        """Mark the servers that are slow, again whenever twice as late."""
+        for attempt in self._out:
+            self._sender.lessons.note_slow(attempt)
+        waited_ms = self._tools.now_ms() - self._request.arrived_ms
+        again_ms = self._request.arrived_ms + 2 * waited_ms
+        if again_ms < self._pace.end_ms:
+            self._timer.call_at(again_ms, self._watch)
+        else:
             self._timer.call_at(self._pace.end_ms, self._run_out)
 
     def _run_out(self) -> None:
--- a/tests/test_single_run.py
+++ b/tests/test_single_run.py
@@ -79,6 +79,17 @@
     assert len(world.sent('s')) == 1
 
 
+def test_order_that_stays_out_is_not_forgotten_while_it_lasts():
+    world = World({'s': 2})
+    start(world)
+    slow = world.replicas.replica(world.out('s')[0].server).slowness
+    for until_ms in (400, 800, 1600, 3200):
+        world.timers.advance(until_ms)
+        assert slow.ratio(until_ms) > 5
+    world.timers.advance(6000)
+    assert [answer.status for answer in world.answers] == [504]
+
+
 def test_no_answer_in_time_is_no_promise():
     world = World({'s': 2})
     start(world, timeout_ms=1000)
