Warm connections first; hedges counted from when a query was sent

Load pattern: many VMs with a query each few seconds, three replicas a shard, small cores. Cause: hedges were due 47 ms after arrival though a VM of 0.36 cores takes half of that to send 90 sub-requests, so two fifths of them were hedged and the budget was spent; each query opened connections to other replicas than the one before. Ruled out: the lag of timers (accounted for already).

--- a/src/dandelionstage/gateway/gather_run.py
+++ b/src/dandelionstage/gateway/gather_run.py
@@ -95,7 +95,8 @@
             self._tools.budgets.earn(shard.service, now_ms)
             if shard.service in skipped or not self._ask(shard):
                 self._note_left_out(shard)
-        self._timer.call_at(self._pace.hedge_ms, self._hedge)
+        sent_ms = self._tools.now_ms()
+        self._timer.call_at(sent_ms + self._pace.hedge_wait_ms, self._hedge)
         self._is_deciding = False
         self._decide()
 
--- a/src/dandelionstage/gateway/pacing.py
+++ b/src/dandelionstage/gateway/pacing.py
@@ -66,12 +66,15 @@
 class Pace:
     """Points in time, by the steady clock.
 
+    :ivar hedge_wait_ms: so long after everything was sent, a server that has
+        not answered is slow.  Counted from there, as a small core takes as
+        long to send a query to many shards as a server to answer.
     :ivar answer_ms: until then waiting for more parts costs nothing.
     :ivar end_ms: the final answer is due.
     :ivar deadline_ms: what servers are told.
     """
 
-    hedge_ms: float
+    hedge_wait_ms: float
     answer_ms: float
     end_ms: float
     deadline_ms: float
@@ -100,7 +103,7 @@
     longest_ms = min(request.time_left_ms, route.timeout_ms)
     arrived_ms = request.arrived_ms
     return Pace(
-        hedge_ms=arrived_ms + _hedge_wait_ms(patience_ms, high_ms),
+        hedge_wait_ms=_hedge_wait_ms(patience_ms, high_ms),
         answer_ms=arrived_ms + min(patience_ms, longest_ms),
         end_ms=arrived_ms + max(1, longest_ms - pacing.end_margin_ms),
         deadline_ms=arrived_ms + longest_ms,
--- a/src/dandelionstage/gateway/server_pool.py
+++ b/src/dandelionstage/gateway/server_pool.py
@@ -56,6 +56,11 @@
         busy = len(self._links) - len(self._idle)
         return busy + len(self._waiting)
 
+    @property
+    def is_warm(self) -> bool:
+        """Whether a connection is open and free."""
+        return bool(self._idle)
+
     @property
     def link_count(self) -> int:
         """Connections open or being opened."""
--- a/src/dandelionstage/gateway/single_run.py
+++ b/src/dandelionstage/gateway/single_run.py
@@ -59,7 +59,8 @@
         """Send the request to one server."""
         self._request.on_gone = self.cancel
         self._tools.budgets.earn(self._service, self._tools.now_ms())
-        self._timer.call_at(self._pace.hedge_ms, self._hedge)
+        hedge_ms = self._request.arrived_ms + self._pace.hedge_wait_ms
+        self._timer.call_at(hedge_ms, self._hedge)
         if not self._ask():
             self._turn_away('no server of the service is known')
 
--- a/src/dandelionstage/gateway/tools.py
+++ b/src/dandelionstage/gateway/tools.py
@@ -32,6 +32,10 @@
     def load(self) -> int:
         """Attempts that wait or are out."""
 
+    @property
+    def is_warm(self) -> bool:
+        """Whether a connection is open and free."""
+
     def submit(self, attempt: Attempt) -> None:
         """Send an attempt as soon as possible."""
 
--- a/src/dandelionstage/placing/replicas.py
+++ b/src/dandelionstage/placing/replicas.py
@@ -16,6 +16,10 @@
 #: works for this VM already is passed over.
 _REMOTE_FACTOR: Final = 1.4
 _BLUR: Final = 0.01
+#: A new connection takes a round trip and holds a slot of the server for a
+#: while.  Where VMs ask seldom and each has several replicas to choose from,
+#: it keeps to those that it is connected to.
+_NEW_LINK_FACTOR: Final = 1.3
 #: A server that has just started and says so.
 _COLD_FACTOR: Final = 1.6
 
@@ -27,6 +31,10 @@
     def load(self) -> int:
         """Attempts of this VM that wait for the server or are out at it."""
 
+    @property
+    def is_warm(self) -> bool:
+        """Whether a connection is open and free."""
+
     def retire(self) -> None:
         """Send nothing more."""
 
@@ -64,6 +72,8 @@
         cost = (self.pool.load + 1) * self.slowness.ratio(now_ms)
         if self.is_remote:
             cost *= _REMOTE_FACTOR
+        if not self.pool.is_warm:
+            cost *= _NEW_LINK_FACTOR
         if now_ms < self.cold_until_ms:
             cost *= _COLD_FACTOR
         return cost
--- a/tests/gateway_world.py
+++ b/tests/gateway_world.py
@@ -76,6 +76,7 @@
         self.attempts = []
         self.abandoned = []
         self.is_retired = False
+        self.is_warm = True
 
     @property
     def load(self):
--- a/tests/test_gather_run.py
+++ b/tests/test_gather_run.py
@@ -10,6 +10,7 @@
 from dandelionstage.gateway.pacing import AnswerLag, Pacing, pace_of
 
 from .gateway_world import (
+    HandPool,
     World,
     failed,
     gather_route,
@@ -222,3 +223,22 @@
     for _ in range(500):
         lag.observe(0)
     assert lag.lag_ms < 1
+
+
+def test_hedges_wait_for_the_time_that_sending_takes():
+    """Load pattern: a small core that takes 30 ms to send a query."""
+    world = World(dict.fromkeys(SHARDS, 2))
+    slow_sends = iter(range(len(SHARDS)))
+    submit = HandPool.submit
+
+    def slowly(pool, attempt):
+        world.timers.now_ms = 3.0 * next(slow_sends, 10)
+        submit(pool, attempt)
+
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr(HandPool, 'submit', slowly)
+        start(world)
+    world.timers.advance(27 + 40)
+    assert not world.events('hedge')
+    world.timers.advance(27 + 42)
+    assert world.events('hedge') == 10
--- a/tests/test_placing.py
+++ b/tests/test_placing.py
@@ -179,3 +179,14 @@
     heed_slow(other.replicas, [('s-1', 9), ('unknown', 9)], 400)
     assert own.ratio(400) == 1
     assert not tell_slow(met.replicas, 5000)
+
+
+def test_vm_keeps_to_replicas_that_it_is_connected_to():
+    """Load pattern: many VMs, a query each few seconds, three replicas."""
+    world = World({'s': 3})
+    for server in ('s-0', 's-2'):
+        world.pools[server].is_warm = False
+    chosen = {world.replicas.choose('s', 0).record.server for _ in range(50)}
+    assert chosen == {'s-1'}
+    world.replicas.replica('s-1').slowness.observe(5, 0)
+    assert world.replicas.choose('s', 0).record.server != 's-1'
