Read as a newcomer: dead code out, one protocol for pools, no silent failure

Cause: a first reading of the store that failed left no log line; a pool's cancel, two fields and a look-up had no user left; the protocol of pools was written twice.

--- a/src/dandelionstage/catalog/catalog.py
+++ b/src/dandelionstage/catalog/catalog.py
@@ -1,12 +1,12 @@
 """The newest routes and servers known to this VM, from whatever source."""
 
 from collections import OrderedDict
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from typing import Final, final
 
-from .routes import RouteTable, ServiceId
-from .servers import ServerId, ServerRecord, ServerState, StoreRevision
+from .routes import RouteTable
+from .servers import ServerId, ServerRecord, StoreRevision
 
 __all__ = ('Catalog', 'Change', 'Item')
 
@@ -80,12 +80,6 @@
         """Whether callers can be served."""
         return self.routes is not None and bool(self._servers)
 
-    def serving(self, service: ServiceId) -> Iterator[ServerRecord]:
-        """Yield the servers of a service that take new work."""
-        for record in self._servers.values():
-            if record.service == service and record.state is ServerState.LIVE:
-                yield record
-
     def items_since(self, revision: StoreRevision) -> list[Item]:
         """List what changed after a revision, removals included."""
         removals = [
--- a/src/dandelionstage/gateway/attempt.py
+++ b/src/dandelionstage/gateway/attempt.py
@@ -64,7 +64,6 @@
     __slots__ = (
         'deadline_ms',
         'ended',
-        'is_safe',
         'on_end',
         'request_id',
         'send',
@@ -93,7 +92,6 @@
         self.started_ms: float = 0
         self.sent_ms: float | None = None
         self.ended = False
-        self.is_safe = True
 
     def end(self, ending: Ending) -> None:
         """Tell how it ended, unless it is of no more interest."""
--- a/src/dandelionstage/gateway/gather_run.py
+++ b/src/dandelionstage/gateway/gather_run.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable
 from http import HTTPStatus
-from typing import Any, Final, final
+from typing import Final, final
 
 from ..catalog.routes import Gather, Route, ServiceId
 from ..catalog.servers import ServerId
@@ -19,7 +19,7 @@
 from .records import greatest_records
 from .requests import Answer, CallerRequest, refusal
 from .run import FirstAnswer, OneTimer, Sender
-from .tools import RunTools
+from .tools import Pool, RunTools
 
 __all__ = ('GatherRun',)
 
@@ -129,9 +129,9 @@
             shard.out.append(attempt)
         return True
 
-    def _choose(self, shard: _Shard) -> Replica[Any] | None:
+    def _choose(self, shard: _Shard) -> Replica[Pool] | None:
         now_ms = self._tools.now_ms()
-        replica: Replica[Any] | None = None
+        replica: Replica[Pool] | None = None
         if len(shard.tried) < self._route.attempts:
             replica = self._tools.replicas.choose(
                 shard.service, now_ms, avoid=shard.tried
--- a/src/dandelionstage/gateway/lessons.py
+++ b/src/dandelionstage/gateway/lessons.py
@@ -1,12 +1,12 @@
 """What the ending of an attempt teaches about the server."""
 
 from http import HTTPStatus
-from typing import Any, Final, final
+from typing import Final, final
 
 from ..catalog.routes import Route
 from ..placing.replicas import Replica
 from .attempt import Attempt, Ending, Loss, Reply
-from .tools import RunTools
+from .tools import Pool, RunTools
 
 __all__ = ('Lessons', 'is_good', 'is_misdirected', 'outcome_of')
 
@@ -76,7 +76,7 @@
             ratio = self._ratio(now_ms - attempt.started_ms)
             replica.slowness.observe_unfinished(ratio, now_ms)
 
-    def _learn_time(self, replica: Replica[Any], attempt: Attempt) -> None:
+    def _learn_time(self, replica: Replica[Pool], attempt: Attempt) -> None:
         now_ms = self._tools.now_ms()
         elapsed_ms = now_ms - attempt.started_ms
         replica.throttle.answer(now_ms)
@@ -85,7 +85,7 @@
         self._tools.log.counts.part(self._route.name, elapsed_ms)
 
     def _learn_failure(
-        self, replica: Replica[Any], attempt: Attempt, reply: Reply
+        self, replica: Replica[Pool], attempt: Attempt, reply: Reply
     ) -> None:
         now_ms = self._tools.now_ms()
         if is_misdirected(reply):
--- a/src/dandelionstage/gateway/run.py
+++ b/src/dandelionstage/gateway/run.py
@@ -1,7 +1,7 @@
 """What gathered and single requests in progress have in common."""
 
 from collections.abc import Callable
-from typing import Any, final
+from typing import final
 
 from ..catalog.routes import Route, ServiceId
 from ..catalog.servers import ServerId
@@ -9,7 +9,7 @@
 from .attempt import Attempt, Ending
 from .lessons import Lessons
 from .requests import Answer, CallerRequest, request_head
-from .tools import RunTools, Timer
+from .tools import Pool, RunTools, Timer
 
 __all__ = ('FirstAnswer', 'OneTimer', 'Sender')
 
@@ -83,7 +83,7 @@
 
     def send(
         self,
-        replica: Replica[Any],
+        replica: Replica[Pool],
         on_end: Callable[[Attempt, Ending], None],
         deadline_ms: float,
     ) -> Attempt:
--- a/src/dandelionstage/gateway/server_link.py
+++ b/src/dandelionstage/gateway/server_link.py
@@ -36,7 +36,6 @@
 
     :ivar state: what it is doing.
     :ivar attempt: the attempt now on it, ``None`` when idle.
-    :ivar used: replies it brought so far.
     """
 
     def __init__(
@@ -50,7 +49,6 @@
         """
         self.state = LinkState.OPENING
         self.attempt: Attempt | None = None
-        self.used = 0
         self._on_rest = on_rest
         self._reader = ReplyReader(names, self._receive)
         self._transport: asyncio.Transport | None = None
@@ -127,7 +125,6 @@
             self._strayed = True
             return
         self._replied = True
-        self.used += 1
         attempt.end(reply)
 
     def _settle(self) -> None:
--- a/src/dandelionstage/gateway/server_pool.py
+++ b/src/dandelionstage/gateway/server_pool.py
@@ -90,17 +90,6 @@
                 _ABANDONED_MS / _MS_PER_S, self._cut, link, attempt
             )
 
-    def cancel(self, attempt: Attempt) -> None:
-        """Stop an attempt now, at the server too."""
-        attempt.ended = True
-        if attempt.sent_ms is None:
-            if attempt in self._waiting:
-                self._waiting.remove(attempt)
-            return
-        link = self._link_of(attempt)
-        if link is not None:
-            link.close()
-
     def retire(self) -> None:
         """Send nothing more; what was sent may finish."""
         self._is_closed = True
--- a/src/dandelionstage/gateway/single_run.py
+++ b/src/dandelionstage/gateway/single_run.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable
 from http import HTTPStatus
-from typing import Any, Final, final
+from typing import Final, final
 
 from ..catalog.routes import Route, ServiceId, Work
 from ..catalog.servers import ServerId
@@ -12,7 +12,7 @@
 from .pacing import Pace
 from .requests import Answer, CallerRequest, passed_on, refusal
 from .run import FirstAnswer, OneTimer, Sender
-from .tools import RunTools
+from .tools import Pool, RunTools
 
 __all__ = ('SingleRun',)
 
@@ -91,7 +91,7 @@
             self._out.append(attempt)
         return True
 
-    def _choose(self) -> Replica[Any] | None:
+    def _choose(self) -> Replica[Pool] | None:
         return self._tools.replicas.choose(
             self._service, self._tools.now_ms(), self._tried
         )
--- a/src/dandelionstage/gateway/tools.py
+++ b/src/dandelionstage/gateway/tools.py
@@ -4,12 +4,12 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from random import Random
-from typing import Any, Final, Protocol, final
+from typing import Final, Protocol, final
 
 from ..catalog.servers import ServerId
 from ..operations.events import EventLog
 from ..placing.extra_budget import ExtraBudgets
-from ..placing.replicas import Replica, Replicas
+from ..placing.replicas import Replica, Replicas, SendsTo
 from ..retries.time_window import TimeWindow
 from .attempt import Attempt
 from .pacing import AnswerLag
@@ -25,26 +25,15 @@
 _MEDIAN: Final = 0.5
 
 
-class Pool(Protocol):
+class Pool(SendsTo, Protocol):
     """Sends attempts to one server."""
 
-    @property
-    def load(self) -> int:
-        """Attempts that wait or are out."""
-
-    @property
-    def is_warm(self) -> bool:
-        """Whether a connection is open and free."""
-
     def submit(self, attempt: Attempt) -> None:
         """Send an attempt as soon as possible."""
 
     def abandon(self, attempt: Attempt) -> None:
         """Lose interest in an attempt."""
 
-    def retire(self) -> None:
-        """Send nothing more."""
-
 
 class Timer(Protocol):
     """Something that is due later."""
@@ -88,7 +77,7 @@
     :ivar call_later: runs something after so many milliseconds.
     """
 
-    replicas: Replicas[Any]
+    replicas: Replicas[Pool]
     budgets: ExtraBudgets
     times: RouteTimes
     lag: AnswerLag
@@ -98,6 +87,6 @@
     call_later: Callable[[float, Callable[[], None]], Timer]
     random: Random
 
-    def replica_of(self, server: ServerId) -> Replica[Any] | None:
+    def replica_of(self, server: ServerId) -> Replica[Pool] | None:
         """Return a server that is still in use."""
         return self.replicas.replica(server)
--- a/src/dandelionstage/platform/node.py
+++ b/src/dandelionstage/platform/node.py
@@ -15,7 +15,7 @@
 from ..gateway.pacing import AnswerLag, Pacing
 from ..gateway.server_pool import ServerPool
 from ..gateway.status_port import StatusPort
-from ..gateway.tools import RouteTimes, RunTools
+from ..gateway.tools import Pool, RouteTimes, RunTools
 from ..lifecycle.owning import Owner
 from ..operations.events import EventLog
 from ..placing.allowance import links_allowed
@@ -48,7 +48,9 @@
         self._sources = Sources(settings, log, random)
         members = self._sources.spread.members
         self._budgets = ExtraBudgets(settings.budget_terms, members.__len__)
-        self._replicas = Replicas(settings.zone, self._make_pool, random)
+        self._replicas: Replicas[Pool] = Replicas(
+            settings.zone, self._make_pool, random
+        )
         tools = RunTools(
             replicas=self._replicas,
             budgets=self._budgets,
--- a/src/dandelionstage/platform/store_reader.py
+++ b/src/dandelionstage/platform/store_reader.py
@@ -1,7 +1,6 @@
 """Follows the store while this VM is one of those that read it for all."""
 
 import asyncio
-import contextlib
 import math
 from collections.abc import Callable
 from random import Random
@@ -89,8 +88,10 @@
         if not self._catalog.as_of:
             await asyncio.sleep(self._random.uniform(0, _FIRST_READ_SPREAD_S))
         if not self._catalog.as_of:
-            with contextlib.suppress(StoreUnavailable):
+            try:
                 await self._read_all()
+            except StoreUnavailable as fault:
+                self._log.event('store_lost', fault=str(fault), as_of=0)
         await asyncio.sleep(_SETTLE_S)
 
     async def _read_once(self) -> None:
