--- a/src/dandelionstage/platform/main.py
+++ b/src/dandelionstage/platform/main.py
@@ -6,7 +6,7 @@
 import signal
 import sys
 from random import Random
-from typing import Final
+from typing import Final, NoReturn
 
 import uvloop
 
@@ -21,6 +21,13 @@
 #: otherwise.
 _PATH_VARIABLE: Final = 'DANDELIONSTAGE_BOOT'
 _DEFAULT_PATH: Final = '/etc/dandelionstage/boot.yaml'
+_USAGE: Final = """usage: python3 -m dandelionstage.platform.main
+
+Serves callers on one VM until SIGTERM; SIGHUP reads the settings again.
+The settings file, JSON as deploy/boot.json has the platform fill it in, is
+named by DANDELIONSTAGE_BOOT.  Logs go to standard output.  Exit codes: 0
+stopped; 2 bad settings or arguments.
+"""
 #: The process was told something that cannot be served.
 _EXIT_SETTINGS: Final = 2
 #: Objects made before young ones are looked at for cycles; served requests
@@ -30,6 +37,8 @@
 
 def main() -> None:
     """Read the settings, then serve until told to stop."""
+    if len(sys.argv) > 1:
+        _explain_usage(sys.argv[1:])
     try:
         settings_file = SettingsFile(
             os.environ.get(_PATH_VARIABLE, _DEFAULT_PATH)
@@ -47,6 +56,15 @@
     uvloop.run(_serve(node))
 
 
+def _explain_usage(arguments: list[str]) -> NoReturn:
+    """Say how the process is started; it takes no arguments."""
+    if arguments in (['-h'], ['--help']):
+        sys.stdout.write(_USAGE)
+        sys.exit()
+    sys.stderr.write('unknown arguments: {0}\n'.format(' '.join(arguments)))
+    sys.exit(_EXIT_SETTINGS)
+
+
 async def _serve(node: Node) -> None:
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGTERM, node.stop)
--- a/tests/test_platform_folder.py
+++ b/tests/test_platform_folder.py
@@ -1,6 +1,8 @@
 """The platform's names stay in its folder, and its build is pinned."""
 
 import re
+import subprocess
+import sys
 import tomllib
 from pathlib import Path
 
@@ -80,3 +82,30 @@
     settings = boot_settings(0, ['127.0.0.1'], 'a', '127.0.0.1:9')
     path.write_bytes(msgspec.json.encode(settings))
     assert SettingsFile(str(path)).settings.watch_ms == 3000
+
+
+def start(tmp_path, text, *arguments):
+    path = tmp_path / 'boot.json'
+    path.write_text(text)
+    return subprocess.run(
+        [sys.executable, '-m', 'dandelionstage.platform.main', *arguments],
+        env={'DANDELIONSTAGE_BOOT': str(path), 'PYTHONPATH': 'src'},
+        cwd=ROOT,
+        capture_output=True,
+        text=True,
+        check=False,
+        timeout=30,
+    )
+
+
+def test_process_says_how_it_is_started(tmp_path):
+    shown = start(tmp_path, '', '--help')
+    assert shown.returncode == 0
+    assert 'DANDELIONSTAGE_BOOT' in shown.stdout
+    assert start(tmp_path, '', '--verbose').returncode == 2
+
+
+def test_process_with_bad_settings_names_the_field_and_ends(tmp_path):
+    shown = start(tmp_path, '{"nodeName": 3}')
+    assert shown.returncode == 2
+    assert 'nodeName' in shown.stderr
