Log when a server is taken to be slow, and when no longer

Cause: what a VM believes of a server changed without a line, so a partial answer could not be traced to the avoidance of a server. Before: test_server_that_becomes_slow_and_usual_again_is_logged_once_each failed.

--- a/src/dandelionstage/cli/timeline.py
+++ b/src/dandelionstage/cli/timeline.py
@@ -28,6 +28,8 @@
         'routes_in_force',
         'server_gone',
         'server_listed',
+        'server_slow',
+        'server_usual',
         'settings_refused',
         'settings_reloaded',
         'started',
--- a/src/dandelionstage/gateway/lessons.py
+++ b/src/dandelionstage/gateway/lessons.py
@@ -59,14 +59,13 @@
         replica = self._tools.replica_of(attempt.server)
         if replica is None or ending in _BLAMELESS:
             return
-        if not isinstance(ending, Reply):
-            replica.slowness.fail(self._tools.now_ms())
-            return
-        replica.throttle.hear()
         if is_good(ending):
             self._learn_time(replica, attempt)
-        else:
+        elif isinstance(ending, Reply):
             self._learn_failure(replica, attempt, ending)
+        else:
+            replica.slowness.fail(self._tools.now_ms())
+        self._log_mark(replica, attempt, outcome_of(ending))
 
     def note_slow(self, attempt: Attempt) -> None:
         """Take in that an attempt is not answered yet."""
@@ -75,6 +74,24 @@
             now_ms = self._tools.now_ms()
             ratio = self._ratio(now_ms - attempt.started_ms)
             replica.slowness.observe_unfinished(ratio, now_ms)
+            self._log_mark(replica, attempt, 'no answer yet')
+
+    def _log_mark(
+        self, replica: Replica[Pool], attempt: Attempt, evidence: str
+    ) -> None:
+        """Log when a server becomes slow or usual again."""
+        now_ms = self._tools.now_ms()
+        is_slow = replica.mark(now_ms)
+        if is_slow is not None:
+            self._tools.log.event(
+                'server_slow' if is_slow else 'server_usual',
+                request=attempt.request_id.decode('latin-1'),
+                server=attempt.server,
+                service=replica.record.service,
+                ratio=round(replica.slowness.ratio(now_ms), 1),
+                evidence=evidence,
+                waited_ms=round(now_ms - attempt.started_ms, 1),
+            )
 
     def _learn_time(self, replica: Replica[Pool], attempt: Attempt) -> None:
         now_ms = self._tools.now_ms()
@@ -88,6 +105,7 @@
         self, replica: Replica[Pool], attempt: Attempt, reply: Reply
     ) -> None:
         now_ms = self._tools.now_ms()
+        replica.throttle.hear()
         if is_misdirected(reply):
             self._tools.log.event(
                 'server_replaced',
--- a/src/dandelionstage/placing/replicas.py
+++ b/src/dandelionstage/placing/replicas.py
@@ -15,6 +15,10 @@
 #: longer and bytes between data centres cost money, yet a near server that
 #: works for this VM already is passed over.
 _REMOTE_FACTOR: Final = 1.4
+#: Times slower than usual from which a server is logged as slow, and below
+#: which as usual again.
+_SLOW_FROM: Final = 4.0
+_USUAL_BELOW: Final = 2.0
 _BLUR: Final = 0.01
 #: A new connection takes a round trip and holds a slot of the server for a
 #: while.  Where VMs ask seldom and each has several replicas to choose from,
@@ -47,10 +51,13 @@
     """A server as this VM sees it.
 
     :ivar pool: its connections.
+    :ivar is_marked: whether it is taken to be slow; for the log alone, as
+        the choice goes by the estimate itself.
     """
 
     __slots__ = (
         'cold_until_ms',
+        'is_marked',
         'is_remote',
         'pool',
         'record',
@@ -63,10 +70,23 @@
         self.record = record
         self.pool = pool
         self.is_remote = is_remote
+        self.is_marked = False
         self.slowness = Slowness()
         self.throttle = Throttle()
         self.cold_until_ms: float = 0
 
+    def mark(self, now_ms: float) -> bool | None:
+        """Tell whether it has just become slow, or usual again.
+
+        :returns: nothing while it stays as it was.
+        """
+        ratio = self.slowness.ratio(now_ms)
+        turns = ratio < _USUAL_BELOW if self.is_marked else ratio >= _SLOW_FROM
+        if not turns:
+            return None
+        self.is_marked = not self.is_marked
+        return self.is_marked
+
     def cost(self, now_ms: float) -> float:
         """Estimate the time of one more request; lower is better."""
         cost = (self.pool.load + 1) * self.slowness.ratio(now_ms)
--- a/src/dandelionstage/placing/slow_news.py
+++ b/src/dandelionstage/placing/slow_news.py
@@ -32,9 +32,13 @@
 
 def heed_slow(
     replicas: Replicas[Any], told: Iterable[SlowServer], now_ms: float
-) -> None:
-    """Take in what another VM has met."""
+) -> list[SlowServer]:
+    """Take in what another VM has met; list what is new here."""
+    new: list[SlowServer] = []
     for server, ratio in told:
         replica = replicas.replica(server)
         if replica is not None:
             replica.slowness.heed(ratio, now_ms)
+            if replica.mark(now_ms):
+                new.append((server, ratio))
+    return new
--- a/src/dandelionstage/platform/node.py
+++ b/src/dandelionstage/platform/node.py
@@ -21,7 +21,7 @@
 from ..placing.allowance import links_allowed
 from ..placing.extra_budget import ExtraBudgets
 from ..placing.replicas import Replicas
-from ..placing.slow_news import heed_slow, tell_slow
+from ..placing.slow_news import SlowServer, heed_slow, tell_slow
 from ..spread.frames import host_and_port
 from .names import HEADERS, METRICS_PORT, METRICS_TARGET, READY_TARGET
 from .settings import BootSettings
@@ -91,9 +91,7 @@
         catalog.on_server.append(self._keep_server)
         spread = self._sources.spread
         spread.tell_slow = lambda: tell_slow(self._replicas, now_ms())
-        spread.heed_slow = lambda told: heed_slow(
-            self._replicas, told, now_ms()
-        )
+        spread.heed_slow = self._heed_slow
         catalog.on_gone.append(self._drop_server)
         catalog.on_routes.append(self._note_routes)
         stack.callback(self._log.flush)
@@ -155,6 +153,12 @@
         self._log.event('server_gone', server=server)
         self._replicas.drop(server)
 
+    def _heed_slow(self, told: list[SlowServer]) -> None:
+        for server, ratio in heed_slow(self._replicas, told, now_ms()):
+            self._log.event(
+                'server_slow', server=server, ratio=ratio, evidence='told'
+            )
+
     def _note_routes(self, routes: RouteTable) -> None:
         self._log.event(
             'routes_in_force', version=routes.version, routes=len(routes)
--- a/tests/test_gather_run.py
+++ b/tests/test_gather_run.py
@@ -242,3 +242,17 @@
     assert not world.events('hedge')
     world.timers.advance(27 + 42)
     assert world.events('hedge') == 10
+
+
+def test_server_that_becomes_slow_and_usual_again_is_logged_once_each():
+    world = World({'s0': 1})
+    route = gather_route(['s0'], least=0.1, attempts=1)
+    for elapsed_ms in (80, 80, 80, 80, 15, 15, 15, 15, 15, 15):
+        begun_ms = world.timers.now_ms
+        request = make_request()
+        request.arrived_ms = begun_ms
+        world.start(GatherRun, route, request)
+        world.timers.advance(begun_ms + elapsed_ms)
+        only(world.out('s0')).end(good())
+    assert world.events('server_slow') == 1
+    assert world.events('server_usual') == 1
