--- a/tests/test_platform_nodes.py
+++ b/tests/test_platform_nodes.py
@@ -7,8 +7,10 @@
 
 import httpx
 import pytest
+from prometheus_client.parser import text_string_to_metric_families
 
 from dandelionstage.gateway.ending import EndLimits
+from dandelionstage.platform.names import METRICS_PORT
 from tools.standins.platform.place import FRONT_PORT, READY_PORT, Platform
 from tools.standins.platform.server import ServerMode
 from tools.standins.platform.store import StoreMode
@@ -358,3 +360,39 @@
     limits = EndLimits.within(grace_ms)
     whole_ms = limits.not_ready_ms + limits.draining_ms
     assert grace_ms * 5 / 6 <= whole_ms + 600 <= grace_ms
+
+
+def test_metrics_are_served_at_the_address_of_the_deploy_file(tmp_path):
+    async def scenario():
+        async with running(tmp_path, 16) as (platform, (node,)):
+            assert (await ask(node, '/q/x')).status_code == 200
+            async with httpx.AsyncClient(trust_env=False) as client:
+                shown = await client.get(url(node, '/metrics', METRICS_PORT))
+            families = {
+                family.name
+                for family in text_string_to_metric_families(shown.text)
+            }
+            assert 'dandelionstage_gateway_latency_ms' in families
+            assert 'dandelionstage_gateway_routes_version' in families
+            assert 'status="200"' in shown.text
+            assert len(runs(platform)) == len(SHARDS)
+
+    asyncio.run(scenario())
+
+
+def test_changed_settings_are_taken_in_and_faulty_ones_refused(tmp_path):
+    async def scenario():
+        async with running(tmp_path, 17) as (platform, (node,)):
+            path = platform.write_settings(0)
+            good = path.read_text()
+            path.write_text(good.replace('"graceS": 6', '"graceS": "six"'))
+            node.reload()
+            assert node._settings_file.settings.bounds.grace_s == GRACE_S
+            path.write_text(good.replace('"graceS": 6', '"graceS": 8'))
+            node.reload()
+            assert node._settings_file.settings.bounds.grace_s == GRACE_S + 2
+            events = [line['event'] for line in platform.lines['front-a-0']]
+            assert 'settings_refused' in events
+            assert 'settings_reloaded' in events
+
+    asyncio.run(scenario())
