One place for keep-alive probes and one clock; a timer that was always replaced

Cause: read once more, the change set up the kernel's probes twice (servers and store), had a copy of backend/limits.now_ms in gateway/clock, and set a timer at the target that the next step always replaced. Ruled out: joining the constructors of gathered and single runs, which share fields and no logic; the parse of a server's address, which checks more. Change: gateway/keep_alive.py serves both; backend/limits takes the clock from gateway/clock; the line is gone. Behaviour stays.

--- a/src/dandelionstage/backend/limits.py
+++ b/src/dandelionstage/backend/limits.py
@@ -1,9 +1,10 @@
 """Times and sizes that bound the connections to one backend server."""
 
-import time
 from dataclasses import dataclass
 from typing import Final, final
 
+from ..gateway.clock import now_ms
+
 __all__ = ('MS', 'ConnectionLimits', 'now_ms')
 
 #: Milliseconds in a second.
@@ -30,8 +31,3 @@
     silent_ms: float = 1000
     cancel_ms: float = 500
     max_reply_bytes: int = 4 * 1024 * 1024
-
-
-def now_ms() -> float:
-    """Tell the monotonic time, finer than an event loop keeps it."""
-    return time.monotonic() * MS
--- a/src/dandelionstage/gateway/gather_run.py
+++ b/src/dandelionstage/gateway/gather_run.py
@@ -223,7 +223,6 @@
     def _reach_target(self) -> None:
         """Answer if that is possible, else ask again for what is needed."""
         self._is_late = True
-        self._timer.call_at(self._pace.end_ms, self._run_out)
         self._decide()
         if self._answer.is_due:
             self._ask_late()
--- a/src/dandelionstage/gateway/server_link.py
+++ b/src/dandelionstage/gateway/server_link.py
@@ -1,13 +1,13 @@
 """One connection to a backend server, with one request on it at a time."""
 
 import asyncio
-import socket
 from collections.abc import Callable
 from enum import Enum, unique
 from typing import Final, cast, final
 
 from .attempt import Attempt, Loss, Reply
 from .clock import now_ms
+from .keep_alive import KeepAlive
 from .reply_reader import HeaderNames, ReplyReader, Stream
 
 __all__ = ('LinkState', 'ServerLink')
@@ -15,9 +15,7 @@
 #: A kept connection is not used when the server may be about to close it.
 _IDLE_MARGIN_MS: Final = 600.0
 #: Probes of the kernel find a peer that is gone while nothing is sent.
-_KEEP_ALIVE_IDLE_S: Final = 5
-_KEEP_ALIVE_EVERY_S: Final = 2
-_KEEP_ALIVE_PROBES: Final = 2
+_KEEP_ALIVE: Final = KeepAlive(idle_s=5, every_s=2, probes=2)
 
 
 @unique
@@ -59,7 +57,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Become ready for the first attempt."""
         self._transport = cast(asyncio.Transport, transport)
-        _probe_when_idle(transport.get_extra_info('socket'))
+        _KEEP_ALIVE.watch(transport)
         if self.state is LinkState.CLOSED:
             transport.close()
             return
@@ -150,15 +148,3 @@
         self.attempt = None
         if attempt is not None:
             attempt.end(loss)
-
-
-def _probe_when_idle(sock: socket.socket | None) -> None:
-    if sock is None:
-        return
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    for option, setting in (
-        (socket.TCP_KEEPIDLE, _KEEP_ALIVE_IDLE_S),
-        (socket.TCP_KEEPINTVL, _KEEP_ALIVE_EVERY_S),
-        (socket.TCP_KEEPCNT, _KEEP_ALIVE_PROBES),
-    ):
-        sock.setsockopt(socket.IPPROTO_TCP, option, setting)
--- a/src/dandelionstage/platform/store_client.py
+++ b/src/dandelionstage/platform/store_client.py
@@ -1,7 +1,6 @@
 """Reads the platform's store over one connection that is kept open."""
 
 import asyncio
-import socket
 from collections.abc import Callable
 from typing import Final, TypeVar, cast, final
 from urllib.parse import urlencode
@@ -10,6 +9,7 @@
 
 from ..catalog.servers import StoreRevision
 from ..gateway.attempt import Reply
+from ..gateway.keep_alive import KeepAlive
 from ..gateway.reply_reader import ReplyReader, Stream
 from .names import HEADERS, RANGE_PATH, WATCH_PATH
 from .store_bodies import Page, Watched, read_page, read_watched
@@ -31,8 +31,7 @@
 _NO_KEY: Final = '-'
 _MS_PER_S: Final = 1000
 #: The kernel finds a store that is cut off while a watch waits.
-_KEEP_ALIVE_S: Final = 1
-_KEEP_ALIVE_PROBES: Final = 2
+_KEEP_ALIVE: Final = KeepAlive(idle_s=1, every_s=1, probes=2)
 
 
 class StoreUnavailable(Exception):
@@ -167,14 +166,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Have the kernel look after the connection."""
         self._transport = cast(asyncio.Transport, transport)
-        sock = transport.get_extra_info('socket')
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-        for option, setting in (
-            (socket.TCP_KEEPIDLE, _KEEP_ALIVE_S),
-            (socket.TCP_KEEPINTVL, _KEEP_ALIVE_S),
-            (socket.TCP_KEEPCNT, _KEEP_ALIVE_PROBES),
-        ):
-            sock.setsockopt(socket.IPPROTO_TCP, option, setting)
+        _KEEP_ALIVE.watch(transport)
 
     async def get(self, target: str) -> Reply:
         """Ask, and wait for the reply."""
