A fault soak of real processes; what was never sent is not counted as tried

Soak: tools/soak runs the program as one process a VM over the stand-in platform, with a loopback proxy before each server and each VM's way to the store, signals, store faults, drains and new versions by a seed; callers keep their connections. It checks at-most-once, truth of refusals and coverage, one set, records, held and cut requests, versions, drains, budgets and ends. Each check fails on a planted break (tests).

Change: an attempt that never left the VM does not count, and at the time of the hedge it moves to another server without a share of the budget.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,9 @@
 BIN := $(VENV)/bin
 PY := PYTHONPATH=src:. $(BIN)/python
 
-.PHONY: demo test bench matrix guards run format lock
+SEEDS ?= 1-50
+
+.PHONY: demo test bench matrix guards soak run format lock
 
 $(VENV)/ready: requirements.txt
 	python3 -m venv $(VENV)
@@ -34,6 +36,9 @@
 guards: $(VENV)/ready
 	$(PY) -m tools.matrix --guards
 
+soak: $(VENV)/ready
+	$(PY) -m tools.soak --seeds $(SEEDS)
+
 run: $(VENV)/ready
 	$(BIN)/dandelionstaged --settings examples/vm.yaml
 
--- a/src/dandelionstage/gateway/gather_run.py
+++ b/src/dandelionstage/gateway/gather_run.py
@@ -35,16 +35,28 @@
 
 @final
 class _Shard:
-    """What was asked of one shard."""
+    """What was asked of one shard.
 
-    __slots__ = ('out', 'part', 'service', 'tried')
+    :ivar tried: servers that a request may have reached; their number is
+        limited.
+    :ivar missed: servers that none was sent to for want of a connection.
+    """
+
+    __slots__ = ('missed', 'out', 'part', 'service', 'tried')
 
     def __init__(self, service: ServiceId) -> None:
         self.service = service
         self.tried: list[ServerId] = []
+        self.missed: list[ServerId] = []
         self.out: list[Attempt] = []
         self.part: Reply | None = None
 
+    def miss(self, attempt: Attempt) -> None:
+        """Take in that an attempt ended; one that was sent stays tried."""
+        if attempt.sent_ms is None and attempt.server in self.tried:
+            self.tried.remove(attempt.server)
+            self.missed.append(attempt.server)
+
 
 @final
 class GatherRun:  # noqa: WPS214 -- one query's whole course, short methods
@@ -143,12 +155,12 @@
         replica: Replica[Pool] | None = None
         if len(shard.tried) < self._route.attempts:
             replica = self._tools.replicas.choose(
-                shard.service, now_ms, avoid=shard.tried
+                shard.service, now_ms, avoid=shard.tried + shard.missed
             )
         if replica is None and self._is_late:
             # A server that did not answer in time may do so now.
             replica = self._tools.replicas.choose(
-                shard.service, now_ms, among=shard.tried
+                shard.service, now_ms, among=shard.tried or shard.missed
             )
         return replica
 
@@ -157,6 +169,7 @@
         if attempt in shard.out:
             shard.out.remove(attempt)
             self._out -= not shard.out
+        shard.miss(attempt)
         if is_good(ending) and isinstance(ending, Reply):
             self._take_part(shard, ending)
         elif not self._is_in_vain(attempt):
@@ -172,6 +185,7 @@
         self._out -= bool(shard.out)
         for slower in shard.out:
             self._sender.give_up(slower, is_slow=True)
+            shard.miss(slower)
         shard.out.clear()
 
     def _is_in_vain(self, attempt: Attempt) -> bool:
@@ -219,10 +233,15 @@
         self._sender.lessons.note_slow(shard.out[0])
         first = self._tools.replica_of(shard.out[0].server)
         other = self._tools.replicas.choose(
-            shard.service, now_ms, avoid=shard.tried
+            shard.service, now_ms, avoid=shard.tried + shard.missed
         )
         if other is None or is_skipped(other, now_ms, self._tools.random):
             return
+        if shard.out[0].sent_ms is None:
+            # Nothing left this VM, so another server is no extra attempt.
+            self._give_up(shard)
+            self._ask(shard)
+            return
         # A server that is worse still would not answer sooner.
         first_cost = first.cost(now_ms) if first else _INFINITE
         is_better = other.cost(now_ms) <= first_cost
--- a/src/dandelionstage/placing/extra_budget.py
+++ b/src/dandelionstage/placing/extra_budget.py
@@ -37,25 +37,47 @@
     window_s: float
 
 
+@final
+class _Count:
+    """Counts in bins, the newest first, and their sum."""
+
+    __slots__ = ('bins', 'total')
+
+    def __init__(self, bin_count: int) -> None:
+        self.bins = deque(repeat(0, bin_count), bin_count)
+        self.total = 0
+
+    def add(self) -> None:
+        """Count one in the newest bin."""
+        self.bins[0] += 1
+        self.total += 1
+
+    def move(self) -> None:
+        """Begin a bin and drop the oldest."""
+        self.total -= self.bins[-1]
+        self.bins.appendleft(0)
+
+
 @final
 class _Account:
-    """Counts of one service, the newest bin first.
+    """Requests for one service and extra attempts at it.
 
-    One bin more than a window is kept: the newest is not yet full.
+    Of the latter one bin more than a window is kept: the newest is not yet
+    full.
     """
 
     __slots__ = ('bin_number', 'extras', 'requests')
 
     def __init__(self, bin_number: int) -> None:
         self.bin_number = bin_number
-        self.requests = deque(repeat(0, _BINS), _BINS)
-        self.extras = deque(repeat(0, _BINS + 1), _BINS + 1)
+        self.requests = _Count(_BINS)
+        self.extras = _Count(_BINS + 1)
 
     def move_to(self, bin_number: int) -> None:
         """Drop the bins that are too old."""
         for _ in range(min(bin_number - self.bin_number, _BINS + 1)):
-            self.requests.appendleft(0)
-            self.extras.appendleft(0)
+            self.requests.move()
+            self.extras.move()
         self.bin_number = bin_number
 
 
@@ -92,7 +114,7 @@
 
     def earn(self, service: ServiceId, now_ms: float) -> None:
         """Count a request for a service."""
-        self._account(service, now_ms).requests[0] += 1
+        self._account(service, now_ms).requests.add()
 
     def take(self, service: ServiceId, now_ms: float) -> bool:
         """Spend one extra attempt, if there is one."""
@@ -100,7 +122,7 @@
         if self._left(account, now_ms) < 1:
             self._loans.need(now_ms)
             return False
-        account.extras[0] += 1
+        account.extras.add()
         return True
 
     def left(self, service: ServiceId, now_ms: float) -> float:
@@ -113,7 +135,7 @@
         """Lend a part of the share, unless some of that part is spent."""
         kept = self._share() * (1 - LENT_FRACTION) * _USED_FRACTION
         for service in self._accounts:
-            if sum(self._account(service, now_ms).extras) > kept:
+            if self._account(service, now_ms).extras.total > kept:
                 return None
         window_ms = self._terms.window_s * _MS_PER_S
         return self._loans.lend(borrower, asked_ms, now_ms, window_ms)
@@ -122,11 +144,13 @@
         # The bins of requests span less than a window and those of extra
         # attempts more, so neither is taken for better than it is.
         share = self._share() * self._loans.factor(now_ms)
-        earned = self._terms.ratio * sum(account.requests)
+        earned = self._terms.ratio * account.requests.total
         whole = (share + earned) * _USED_FRACTION
+        if not account.extras.total:
+            return whole
         at_once = max(1, whole * _AT_ONCE_FRACTION)
-        lately = sum(islice(account.extras, _BINS // 2))
-        return min(whole - sum(account.extras), at_once - lately)
+        lately = sum(islice(account.extras.bins, _BINS // 2))
+        return min(whole - account.extras.total, at_once - lately)
 
     def _share(self) -> float:
         return self._terms.slack / max(1, self._vm_count())
--- a/src/dandelionstage/placing/loans.py
+++ b/src/dandelionstage/placing/loans.py
@@ -40,7 +40,7 @@
 
 
 @final
-class Loans:
+class Loans:  # noqa: WPS214 -- one account, short methods
     """Who lent how much to this VM, and what this VM lent.
 
     A lender does without what it lent until the loan is over for certain and
@@ -84,12 +84,15 @@
 
     def factor(self, now_ms: float) -> float:
         """Tell how many shares this VM may spend; its own is 1."""
+        is_lent = self._lent is not None and now_ms < self._lent.back_ms
+        factor = 1 - is_lent * LENT_FRACTION
+        return factor + self._borrowed_now(now_ms) if self._borrowed else factor
+
+    def _borrowed_now(self, now_ms: float) -> float:
         for lender, loan in tuple(self._borrowed.items()):
             if now_ms >= loan.until_ms:
                 self._borrowed.pop(lender)
-        borrowed = sum(held.fraction for held in self._borrowed.values())
-        is_lent = self._lent is not None and now_ms < self._lent.back_ms
-        return 1 + borrowed - is_lent * LENT_FRACTION
+        return sum(held.fraction for held in self._borrowed.values())
 
     def _may_lend(self, borrower: VmId, now_ms: float) -> bool:
         lent = self._lent
--- a/tests/gateway_world.py
+++ b/tests/gateway_world.py
@@ -78,6 +78,7 @@
         self.abandoned = []
         self.is_retired = False
         self.is_warm = True
+        self.connects = True
 
     @property
     def load(self):
@@ -85,7 +86,8 @@
 
     def submit(self, attempt):
         attempt.started_ms = self.timers.now_ms
-        attempt.sent_ms = self.timers.now_ms
+        if self.connects:
+            attempt.sent_ms = self.timers.now_ms
         self.attempts.append(attempt)
 
     def abandon(self, attempt):
--- a/tests/test_gather_run.py
+++ b/tests/test_gather_run.py
@@ -114,6 +114,32 @@
     assert only(world.out('s0')).deadline_ms < 200
 
 
+def test_server_that_cannot_be_reached_gives_way_to_another_for_free():
+    """Load pattern: a third of the servers dark, no extra attempt left."""
+    world = World({**dict.fromkeys(SHARDS, 1), 's0': 3}, budget=0.0)
+    for pool in world.pools.values():
+        pool.connects = pool.record.service != 's0'
+    start(world)
+    first = only(world.out('s0'))
+    for pool in world.pools.values():
+        pool.connects = True
+    world.timers.advance(80)
+    second = only(world.out('s0'))
+    assert second.server != first.server
+    assert first.ended
+    assert not world.events('hedge')
+
+
+def test_servers_that_cannot_be_reached_do_not_count_as_tried():
+    world = World({**dict.fromkeys(SHARDS, 1), 's0': 3})
+    for pool in world.pools.values():
+        pool.connects = pool.record.service != 's0'
+    start(world)
+    for _ in range(2):
+        only(world.out('s0')).end(Loss.CONNECT_FAILED)
+    assert len({each.server for each in world.sent('s0')}) == 3
+
+
 def test_incomplete_answer_waits_for_the_target_and_says_what_lacks():
     world = World(dict.fromkeys(SHARDS, 1))
     start(world)
--- /dev/null
+++ b/tests/test_soak.py
@@ -0,0 +1,166 @@
+"""The soak tells broken promises apart from kept ones, and finds none."""
+
+import asyncio
+from types import SimpleNamespace
+
+import pytest
+
+from tools.soak.callers import Asked
+from tools.soak.place import ORDERS
+from tools.soak.promises import broken_promises
+from tools.soak.run import Plan, soak
+from tools.soak.vms import Ending, Life
+from tools.standins.platform.server import Run
+
+SET = ('s0', 's1', 's2')
+
+
+def make_place():
+    """A place in which nothing has happened."""
+    life = Life(0.0)
+    services = {'i-1': 's0', 'i-2': 's1', 'i-3': 's2', 'i-4': ORDERS}
+    servers = {name: SimpleNamespace(runs=[], arrived=[]) for name in services}
+    return SimpleNamespace(
+        platform=SimpleNamespace(servers=servers),
+        vms=[SimpleNamespace(host='h', lives=[life])],
+        service=services.get,
+        service_of=services,
+        published_ms=[0.0, 1000.0],
+        sets=[SET],
+        drained_ms={},
+        store_spells=[],
+    )
+
+
+def life_of(place):
+    return place.vms[0].lives[-1]
+
+
+def arrived_at(place, server):
+    return place.platform.servers[server].arrived
+
+
+def make_asked(place, path='/o/x', status=200, **more):
+    asked = Asked('r1', path, life_of(place), 5000.0, status, 5100.0)
+    for name, content in more.items():
+        setattr(asked, name, content)
+    return asked
+
+
+def query(place, stamps, missing, body=None):
+    records = [each.encode().ljust(16, b'.') for each in (*stamps, *stamps)]
+    return make_asked(
+        place,
+        '/q/x',
+        headers={
+            'x-part-stamps': ', '.join(stamps),
+            'x-missing-parts': str(missing),
+        },
+        body=body or b''.join(sorted(records, reverse=True)[:10]),
+    )
+
+
+def run(place, request='r1'):
+    server = place.platform.servers['i-4']
+    server.runs.append(Run(request, 'GET', '/o/x', b'', 100.0))
+    server.arrived.append((5000.0, request))
+
+
+def check(place, *asked):
+    return list(broken_promises(place, asked))
+
+
+def test_kept_promises_are_not_reported():
+    place = make_place()
+    run(place)
+    assert not check(
+        place,
+        make_asked(place),
+        query(place, ('i-1.1', 'i-2.4', 'i-3.1'), 0),
+        query(place, ('i-1.1', 'i-3.1'), 1),
+        make_asked(place, '/m1/x', 404, sent_ms=2000.0, ended_ms=2010.0),
+    )
+
+
+@pytest.mark.parametrize(
+    ('stamps', 'missing'),
+    [
+        (('i-1.1', 'i-1.2'), 1),
+        (('i-1.1', 'i-2.1', 'i-3.1'), 1),
+        (('i-1.1',), 2),
+        (('i-1.1', 'i-4.1', 'i-3.1'), 0),
+    ],
+)
+def test_wrong_coverage_is_found(stamps, missing):
+    place = make_place()
+    assert check(place, query(place, stamps, missing))
+
+
+def test_wrong_records_are_found():
+    place = make_place()
+    assert check(place, query(place, ('i-1.1', 'i-3.1'), 1, b'x' * 64))
+
+
+def test_second_run_is_found():
+    place = make_place()
+    run(place)
+    run(place)
+    assert any('ran 2' in each for each in check(place, make_asked(place)))
+
+
+def test_false_refusal_is_found():
+    place = make_place()
+    run(place)
+    assert check(place, make_asked(place, status=503))
+
+
+def test_cut_of_a_request_that_was_passed_on_is_found():
+    place = make_place()
+    run(place)
+    life_of(place).ending = Ending.STOPPED
+    assert check(place, make_asked(place, status=None))
+    life_of(place).ending = Ending.KILLED
+    assert not check(place, make_asked(place, status=None))
+
+
+def test_held_request_and_unasked_end_are_found():
+    place = make_place()
+    assert check(place, make_asked(place, ended_ms=8000.0))
+    life_of(place).ending = Ending.UNASKED
+    assert check(place)
+
+
+def test_step_back_and_late_version_are_found():
+    place = make_place()
+    first = make_asked(place, '/m2/x', 200, sent_ms=1500.0, ended_ms=1510.0)
+    second = make_asked(place, '/m2/x', 404, sent_ms=1600.0, ended_ms=1610.0)
+    assert check(place, first, second)
+    late = make_asked(place, '/m2/x', 404, sent_ms=4100.0, ended_ms=4110.0)
+    assert check(place, late)
+    place.store_spells.append((500.0, 1500.0))
+    assert not check(place, late)
+
+
+def test_request_after_a_drain_is_found():
+    place = make_place()
+    place.drained_ms['i-1'] = 1000.0
+    arrived_at(place, 'i-1').append((3900.0, 'r1'))
+    assert not check(place)
+    arrived_at(place, 'i-1').append((4100.0, 'r2'))
+    assert check(place)
+
+
+def test_spent_budget_is_found():
+    place = make_place()
+    arrived = arrived_at(place, 'i-1')
+    arrived.extend((float(number), 'r') for number in range(109))
+    assert not check(place)
+    arrived.extend((float(number), 'r') for number in range(3))
+    assert check(place)
+
+
+def test_no_promise_is_broken_in_a_short_soak(tmp_path):
+    """Real processes, seeds drawn once; `python -m tools.soak` runs more."""
+    report = asyncio.run(soak(Plan(4, 6.0, 3), tmp_path))
+    assert not report.broken, report
+    assert report.statuses[200] > 100
--- /dev/null
+++ b/tools/soak/faults.py
@@ -0,0 +1,128 @@
+"""Faults drawn by a seed: one by one, in series and overlapping."""
+
+import asyncio
+from collections.abc import Callable, Coroutine, Iterable, Mapping
+from enum import Enum
+from types import MappingProxyType
+from typing import Final, TypeVar
+
+from dandelionstage.gateway.clock import now_ms
+from tools.standins.platform.server import PlatformServer, ServerMode
+from tools.standins.platform.store import StoreMode
+
+from .place import Place
+from .proxy import Way
+
+__all__ = ('FAULTS', 'Fault')
+
+#: Takes effect and, when its time is over, undoes itself.
+Fault = Callable[[Place], Coroutine[None, None, None]]
+
+_Member = TypeVar('_Member', bound=Enum)
+
+_SPELL_S: Final = (0.3, 2.5)
+_SLOW_MS: Final = 200.0
+_BAD_MODES: Final = tuple(set(ServerMode) - {ServerMode.WELL})
+_BAD_WAYS: Final = tuple(set(Way) - {Way.OPEN})
+_BAD_STORE: Final = tuple(set(StoreMode) - {StoreMode.WELL})
+
+
+def _spell_s(place: Place) -> float:
+    return place.random.uniform(*_SPELL_S)
+
+
+def _any_server(place: Place) -> PlatformServer:
+    name = place.random.choice(sorted(place.servers))
+    return place.servers[name]
+
+
+def _any_bad_way(place: Place) -> Way:
+    return place.random.choice(_sorted(_BAD_WAYS))
+
+
+async def _stop_vm(place: Place) -> None:
+    await place.random.choice(place.vms).stop()
+
+
+async def _kill_vm(place: Place) -> None:
+    down_s = place.random.random()
+    await place.random.choice(place.vms).kill(down_s)
+
+
+async def _pause_vm(place: Place) -> None:
+    await place.random.choice(place.vms).pause(_spell_s(place))
+
+
+async def _spoil_server(place: Place) -> None:
+    server = _any_server(place)
+    server.mode = place.random.choice(_sorted(_BAD_MODES))
+    await asyncio.sleep(_spell_s(place))
+    server.mode = ServerMode.WELL
+
+
+async def _slow_server(place: Place) -> None:
+    server = _any_server(place)
+    before_ms = server.work_ms
+    server.work_ms = _SLOW_MS
+    await asyncio.sleep(_spell_s(place))
+    server.work_ms = before_ms
+
+
+async def _spoil_way(place: Place) -> None:
+    proxy = place.proxies[_any_server(place).server]
+    proxy.way = _any_bad_way(place)
+    await asyncio.sleep(_spell_s(place))
+    proxy.way = Way.OPEN
+
+
+async def _spoil_store(place: Place) -> None:
+    began_ms = now_ms()
+    place.platform.store.mode = place.random.choice(_sorted(_BAD_STORE))
+    await asyncio.sleep(_spell_s(place))
+    place.platform.store.mode = StoreMode.WELL
+    place.store_spells.append((began_ms, now_ms()))
+
+
+async def _spoil_store_way(place: Place) -> None:
+    began_ms = now_ms()
+    proxy = place.random.choice(place.store_ways)
+    proxy.way = _any_bad_way(place)
+    await asyncio.sleep(_spell_s(place))
+    proxy.way = Way.OPEN
+    place.store_spells.append((began_ms, now_ms()))
+
+
+async def _cut_store(place: Place) -> None:
+    place.platform.store.cut_all()
+    place.platform.store.forget_history()
+
+
+async def _publish(place: Place) -> None:
+    place.publish()
+
+
+async def _replace_server(place: Place) -> None:
+    await place.replace_server(place.random.choice(sorted(place.servers)))
+
+
+def _sorted(members: Iterable[_Member]) -> list[_Member]:
+    """Put the members of an enumeration in an order that never changes."""
+    return sorted(members, key=lambda member: str(member.value))
+
+
+#: What may happen, and how often compared with the others.
+FAULTS: Final[Mapping[Fault, int]] = MappingProxyType(
+    {
+        _stop_vm: 3,
+        _kill_vm: 2,
+        _pause_vm: 2,
+        _spoil_server: 4,
+        _slow_server: 2,
+        _spoil_way: 4,
+        _spoil_store: 2,
+        _spoil_store_way: 2,
+        _cut_store: 1,
+        _publish: 3,
+        _replace_server: 2,
+    },
+)
--- a/tools/standins/platform/place.py
+++ b/tools/standins/platform/place.py
@@ -141,10 +141,17 @@
         )
         return Node(settings_file, log, Random(self._random.random()))
 
-    def write_settings(self, number: int, zone: str = _ZONE) -> Path:
-        """Write the settings file of one VM."""
+    def write_settings(
+        self, number: int, zone: str = _ZONE, store: str | None = None
+    ) -> Path:
+        """Write the settings file of one VM.
+
+        :param store: where it reaches the store, if not directly.
+        """
         path = self._folder / 'boot-{0}.json'.format(number)
-        settings = boot_settings(number, self._hosts, zone, self.store_address)
+        settings = boot_settings(
+            number, self._hosts, zone, store or self.store_address
+        )
         path.write_text(json.dumps(settings))
         return path
 
--- a/tools/standins/platform/server.py
+++ b/tools/standins/platform/server.py
@@ -7,6 +7,7 @@
 from http import HTTPStatus
 from typing import Final, final
 
+from dandelionstage.gateway.clock import now_ms
 from dandelionstage.lifecycle.owning import Owner
 
 from .http_port import Asked, HttpPort
@@ -48,13 +49,13 @@
 
 
 @final
-class PlatformServer(Owner):
+class PlatformServer(Owner):  # noqa: WPS214 -- one server, short methods
     """Works with a number of slots and notes what it ran.
 
     :ivar mode: how requests are treated; may be changed at any time.
     :ivar work_ms: time that one request takes.
     :ivar runs: every request that it began.
-    :ivar arrivals: requests received, refused ones too.
+    :ivar arrived: when requests came, and their ids; refused ones too.
     :ivar at_work: requests that it works on now.
     """
 
@@ -64,7 +65,7 @@
         self.work_ms: float = 1
         self.server = server
         self.runs: list[Run] = []
-        self.arrivals = 0
+        self.arrived: list[tuple[float, str]] = []
         self.at_work = 0
         self.address = '{0}:{1}'.format(*address)
         self._slots = asyncio.Semaphore(2)
@@ -87,12 +88,17 @@
             **more,
         }
 
+    @property
+    def arrivals(self) -> int:
+        """Requests received, refused ones too."""
+        return len(self.arrived)
+
     async def _open(self, stack: AsyncExitStack) -> None:
         await stack.enter_async_context(self.port)
 
     async def _serve(self, asked: Asked) -> bytes:
-        self.arrivals += 1
         request = asked.headers.get('x-request-id', '')
+        self.arrived.append((now_ms(), request))
         if asked.headers.get('x-target-instance') != self.server:
             return _refusal(HTTPStatus.MISDIRECTED_REQUEST, request)
         if self.mode is ServerMode.SHED:
