--- a/src/dandelionstage/gateway/gather_run.py
+++ b/src/dandelionstage/gateway/gather_run.py
@@ -66,7 +66,8 @@
     given at the target and not before, unless the rest cannot come.  Servers
     are told to stop at the target: what a full server can still answer in
     time then gets its slots, and no queue grows behind what comes too late.
-    Only where no extra attempt is left, they may take all the caller's time.
+    Only where no extra attempt is left, those that are not overloaded may take
+    all the caller's time.
     After the target the shards without which there is no answer are asked
     again, and the answer is given as soon as it is complete enough.
     """
@@ -135,20 +136,23 @@
         attempt = self._sender.send(
             replica,
             lambda ended, ending: self._end(shard, ended, ending),
-            self._deadline_ms(shard),
+            self._deadline_ms(replica),
         )
         if not attempt.ended:
             self._out += not shard.out
             shard.out.append(attempt)
         return True
 
-    def _deadline_ms(self, shard: _Shard) -> float:
+    def _deadline_ms(self, replica: Replica[Pool]) -> float:
         """Say when a server is to stop working on an attempt."""
-        now_ms = self._tools.now_ms()
-        may_ask_again = self._tools.budgets.left(shard.service, now_ms) >= 1
-        if may_ask_again and not self._is_late:
+        if self._is_late:
+            return self._pace.deadline_ms
+        if replica.throttle.may_skip:
+            # Overloaded: its slots are for what it can answer in time.
             return self._pace.answer_ms
-        return self._pace.deadline_ms
+        now_ms = self._tools.now_ms()
+        budget = self._tools.budgets.left(replica.record.service, now_ms)
+        return self._pace.answer_ms if budget >= 1 else self._pace.deadline_ms
 
     def _choose(self, shard: _Shard) -> Replica[Pool] | None:
         now_ms = self._tools.now_ms()
--- a/src/dandelionstage/gateway/lessons.py
+++ b/src/dandelionstage/gateway/lessons.py
@@ -53,6 +53,7 @@
         """Learn about the servers of one route."""
         self._route = route
         self._tools = tools
+        self._usual_ms = tools.times.usual_ms(route.name)
 
     def learn(self, attempt: Attempt, ending: Ending) -> None:
         """Take in what an ending says of the server."""
@@ -80,6 +81,8 @@
         self, replica: Replica[Pool], attempt: Attempt, evidence: str
     ) -> None:
         """Log when a server becomes slow or usual again."""
+        if not replica.may_be_marked:
+            return
         now_ms = self._tools.now_ms()
         is_slow = replica.mark(now_ms)
         if is_slow is not None:
@@ -122,4 +125,4 @@
             replica.slowness.observe_unfinished(_SHED_RATIO, now_ms)
 
     def _ratio(self, elapsed_ms: float) -> float:
-        return elapsed_ms / self._tools.times.usual_ms(self._route.name)
+        return elapsed_ms / self._usual_ms
--- a/src/dandelionstage/placing/replicas.py
+++ b/src/dandelionstage/placing/replicas.py
@@ -20,6 +20,7 @@
 _SLOW_FROM: Final = 4.0
 _USUAL_BELOW: Final = 2.0
 _BLUR: Final = 0.01
+_INFINITE: Final = float('inf')
 #: A new connection takes a round trip and holds a slot of the server for a
 #: while.  Where VMs ask seldom and each has several replicas to choose from,
 #: it keeps to those that it is connected to.
@@ -75,6 +76,11 @@
         self.throttle = Throttle()
         self.cold_until_ms: float = 0
 
+    @property
+    def may_be_marked(self) -> bool:
+        """Whether :meth:`mark` can tell anything; cheaper than asking it."""
+        return self.is_marked or not self.slowness.is_usual
+
     def mark(self, now_ms: float) -> bool | None:
         """Tell whether it has just become slow, or usual again.
 
@@ -169,16 +175,22 @@
 
         :param among: take none but these.
         """
-        allowed = [
-            replica
-            for replica in self._by_service.get(service, ())
-            if _is_allowed(replica.record.server, avoid, among)
-        ]
-        return min(
-            allowed,
-            key=lambda replica: self._blurred(replica.cost(now_ms)),
-            default=None,
-        )
+        allowed = self._by_service.get(service, [])
+        if avoid or among is not None:
+            allowed = [
+                replica
+                for replica in allowed
+                if _is_allowed(replica.record.server, avoid, among)
+            ]
+        best: Replica[Pool] | None = None
+        least = _INFINITE
+        # A loop, as this is done for each sub-request.
+        for replica in allowed:
+            cost = self._blurred(replica.cost(now_ms))
+            if cost < least:
+                best = replica
+                least = cost
+        return best
 
     def is_silent(self, service: ServiceId, now_ms: float) -> bool:
         """Whether no replica of a service seems reachable."""
--- a/src/dandelionstage/placing/slowness.py
+++ b/src/dandelionstage/placing/slowness.py
@@ -41,6 +41,11 @@
         self._failures = 0
         self._own_ms = float('-inf')
 
+    @property
+    def is_usual(self) -> bool:
+        """Whether nothing is known that would make it slower than usual."""
+        return self._ratio <= _USUAL
+
     def ratio(self, now_ms: float) -> float:
         """Estimate how much slower than usual the next answer will be."""
         if self._ratio <= _USUAL:
--- a/tests/test_gather_run.py
+++ b/tests/test_gather_run.py
@@ -114,6 +114,16 @@
     assert only(world.out('s0')).deadline_ms < 200
 
 
+def test_overloaded_server_stops_at_the_target_even_without_budget():
+    world = World(dict.fromkeys(SHARDS, 1), budget=0.0)
+    throttle = world.replicas.of('s0')[0].throttle
+    for _ in range(8):
+        throttle.send(0.0)
+    start(world)
+    assert only(world.out('s0')).deadline_ms < 200
+    assert only(world.out('s1')).deadline_ms == 1500
+
+
 def test_server_that_cannot_be_reached_gives_way_to_another_for_free():
     """Load pattern: a third of the servers dark, no extra attempt left."""
     world = World({**dict.fromkeys(SHARDS, 1), 's0': 3}, budget=0.0)
