One log line for failed attempts; the servers asked of a shard; one look less

Cause: a read of the whole change. Queries and single requests each wrote the same attempt_failed line; the servers of a shard that were tried or missed were joined at two places; an answer that is not timed, because another is, still cost a call to the kernel.

Ruled out: joining the two runs' ends and turns, which log and refuse differently; one writer for answers to callers and status pages, as the latter name no reason phrase.

Change: Sender.log_failure, _Shard.asked, and the check of what is being timed before the call.

--- a/src/dandelionstage/gateway/delivery.py
+++ b/src/dandelionstage/gateway/delivery.py
@@ -84,8 +84,10 @@
 
     def watch(self, route: str, transport: asyncio.BaseTransport) -> None:
         """Time an answer that was just written, unless one is timed."""
+        if self._is_timing:
+            return
         trip_ms = round_trip_ms(transport)
-        if self._is_timing or not trip_ms:
+        if not trip_ms:
             return
         self._is_timing = True
         written_ms = now_ms()
--- a/src/dandelionstage/gateway/gather_run.py
+++ b/src/dandelionstage/gateway/gather_run.py
@@ -14,7 +14,7 @@
 )
 from ..retries.backoff import backoff_ms
 from .attempt import Attempt, Ending, Reply
-from .lessons import is_good, outcome_of
+from .lessons import is_good
 from .pacing import Pace
 from .records import greatest_records
 from .requests import Answer, CallerRequest, refusal
@@ -51,6 +51,11 @@
         self.out: list[Attempt] = []
         self.part: Reply | None = None
 
+    @property
+    def asked(self) -> list[ServerId]:
+        """Servers chosen so far, reached or not."""
+        return self.tried + self.missed
+
     def miss(self, attempt: Attempt) -> None:
         """Take in that an attempt ended; one that was sent stays tried."""
         if attempt.sent_ms is None and attempt.server in self.tried:
@@ -159,7 +164,7 @@
         replica: Replica[Pool] | None = None
         if len(shard.tried) < self._route.attempts:
             replica = self._tools.replicas.choose(
-                shard.service, now_ms, avoid=shard.tried + shard.missed
+                shard.service, now_ms, avoid=shard.asked
             )
         if replica is None and self._is_late:
             # A server that did not answer in time may do so now.
@@ -198,14 +203,7 @@
 
     def _retry(self, shard: _Shard, attempt: Attempt, ending: Ending) -> None:
         """Ask another server of the shard after a failure."""
-        self._tools.log.event(
-            'attempt_failed',
-            request=self._request.log_id,
-            service=shard.service,
-            server=attempt.server,
-            outcome=outcome_of(ending),
-            waited_ms=round(self._tools.now_ms() - attempt.started_ms, 1),
-        )
+        self._sender.log_failure(shard.service, attempt, ending)
         if shard.out or len(shard.tried) >= self._route.attempts:
             return
         # What never left this VM is no extra load on any server.
@@ -237,7 +235,7 @@
         self._sender.lessons.note_slow(shard.out[0])
         first = self._tools.replica_of(shard.out[0].server)
         other = self._tools.replicas.choose(
-            shard.service, now_ms, avoid=shard.tried + shard.missed
+            shard.service, now_ms, avoid=shard.asked
         )
         if other is None or is_skipped(other, now_ms, self._tools.random):
             return
--- a/src/dandelionstage/gateway/run.py
+++ b/src/dandelionstage/gateway/run.py
@@ -7,7 +7,7 @@
 from ..catalog.servers import ServerId
 from ..placing.replicas import Replica
 from .attempt import Attempt, Ending
-from .lessons import Lessons
+from .lessons import Lessons, outcome_of
 from .requests import Answer, CallerRequest, request_head
 from .tools import Pool, RunTools, Timer
 
@@ -129,6 +129,23 @@
         )
         return taken
 
+    def log_failure(
+        self, service: ServiceId, attempt: Attempt, ending: Ending, **more: int
+    ) -> None:
+        """Log how an attempt failed.
+
+        :param more: further fields of the line.
+        """
+        self._tools.log.event(
+            'attempt_failed',
+            request=self._request.log_id,
+            service=service,
+            server=attempt.server,
+            outcome=outcome_of(ending),
+            **more,
+            waited_ms=round(self._tools.now_ms() - attempt.started_ms, 1),
+        )
+
     def _bytes_for(self, server: ServerId, left_ms: float) -> bytes:
         names = self._tools.names
         return b'%b%b: %b\r\n%b: %d\r\n\r\n%b' % (
--- a/src/dandelionstage/gateway/single_run.py
+++ b/src/dandelionstage/gateway/single_run.py
@@ -8,7 +8,7 @@
 from ..catalog.servers import ServerId
 from ..placing.replicas import Replica
 from .attempt import Attempt, Ending, Reply
-from .lessons import is_good, is_misdirected, outcome_of
+from .lessons import is_good, is_misdirected
 from .pacing import Pace
 from .requests import Answer, CallerRequest, passed_on, refusal
 from .run import FirstAnswer, OneTimer, Sender
@@ -113,7 +113,7 @@
             isinstance(ending, Reply) and not ending.ran
         )
         self._runs += has_run
-        self._log_failure(attempt, ending)
+        self._sender.log_failure(self._service, attempt, ending, ran=self._runs)
         if self._out:
             return
         if self._may_repeat(attempt, ending):
@@ -203,17 +203,6 @@
             self._sender.give_up(slower, is_slow=True)
         self._out.clear()
 
-    def _log_failure(self, attempt: Attempt, ending: Ending) -> None:
-        self._tools.log.event(
-            'attempt_failed',
-            request=self._request.log_id,
-            service=self._service,
-            server=attempt.server,
-            outcome=outcome_of(ending),
-            ran=self._runs,
-            waited_ms=round(self._tools.now_ms() - attempt.started_ms, 1),
-        )
-
     def _log_end(self, kind: str, status: HTTPStatus, reason: str) -> None:
         self._tools.log.event(
             kind,
