--- a/src/dandelionstage/daemon/daemon.py
+++ b/src/dandelionstage/daemon/daemon.py
@@ -25,10 +25,11 @@
 
 async def run_daemon(settings: Settings) -> None:
     """Serve until told to stop, then finish what is in flight."""
-    async with anyio.create_task_group() as group:
+    client = ServiceClient(service_url(settings))
+    # The tasks use the client until they have ended, so it is closed last.
+    async with client, anyio.create_task_group() as group:
         node = Node(settings, group)
-        client = ServiceClient(service_url(settings))
-        async with node.peers, client:
+        async with node.peers:
             daemon = _Daemon(node, settings, group, client)
             daemon.start(group)
             await daemon.listen()
