Queries over many shards are shared with other VMs; fewer useless hedges

Cause: on the grown site a VM with 0.36 of a core and a link of 18 Mbit/s sends and reads the sub-requests of 90 to 135 shards by itself, which takes it 20 to 30 ms of the 43 that motto-lookup has, while the other 34 VMs of its data centre have no query.

Change: a query over 40 shards or more is cut into groups of 15 at most; each group goes to the VM of the data centre that ranks first for it, which asks the servers, hedges from its own budget and reports signatures and greatest records. What a VM refused or was never sent is asked from here without an extra attempt; what was lost with it costs one. Attempts at shards moved into a class of their own, used by both. A hedge waits for the 90th percentile and for twice the usual time.

--- a/src/dandelionstage/gateway/attempt.py
+++ b/src/dandelionstage/gateway/attempt.py
@@ -25,6 +25,8 @@
     BAD_REPLY = 'bad_reply'
     #: The server was taken out of use before anything was sent.
     WITHDRAWN = 'withdrawn'
+    #: Another VM that was to ask the server's shard got no answer.
+    RELAY_EMPTY = 'relay_empty'
     #: Too little time was left to send anything.
     EXPIRED = 'expired'
 
--- a/src/dandelionstage/gateway/callers.py
+++ b/src/dandelionstage/gateway/callers.py
@@ -56,6 +56,10 @@
         """Connections open."""
         return len(self._links)
 
+    def unread_ms(self, at_ms: float) -> float:
+        """Tell how long bytes read now may have lain unread."""
+        return self._pauses.unread_ms(at_ms)
+
     def end_links(self) -> None:
         """Let each connection end with its next answer."""
         self._is_ending = True
--- a/src/dandelionstage/gateway/gateway.py
+++ b/src/dandelionstage/gateway/gateway.py
@@ -10,7 +10,7 @@
 from ..catalog.routes import Gather, Route
 from ..placing.shard_choice import unreachable_shards
 from .gather_run import GatherRun
-from .pacing import HEDGE_QUANTILE, Pacing, pace_of
+from .pacing import Pacing, pace_of, slow_after_ms
 from .requests import Answer, CallerRequest, refusal
 from .single_run import SingleRun
 from .tools import RunTools
@@ -85,9 +85,9 @@
         route: Route,
         give: Callable[[Answer], None],
     ) -> None:
-        high_ms = self._tools.times.quantile_ms(route.name, HEDGE_QUANTILE)
+        slow_ms = slow_after_ms(self._tools.times, route.name)
         lag_ms = self._tools.lag.lag_ms + self._tools.deliveries.lag_ms(route)
-        pace = pace_of(request, route, high_ms, self._pacing, lag_ms)
+        pace = pace_of(request, route, slow_ms, self._pacing, lag_ms)
         request.timed_route = route.name
         run = GatherRun if route.gather else SingleRun
         run(
--- a/src/dandelionstage/gateway/gather_run.py
+++ b/src/dandelionstage/gateway/gather_run.py
@@ -1,78 +1,35 @@
 """One query over many shards, from its first sub-request to its answer."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from http import HTTPStatus
 from typing import Final, final
 
-from ..catalog.routes import Gather, Route, ServiceId
-from ..catalog.servers import ServerId
-from ..placing.replicas import Replica
-from ..placing.shard_choice import (
-    is_skipped,
-    skipped_shards,
-    unreachable_shards,
-)
+from ..catalog.routes import Gather, Route
+from ..placing.shard_choice import skipped_shards, unreachable_shards
 from ..retries.backoff import backoff_ms
-from .attempt import Attempt, Ending, Reply
-from .lessons import is_good
 from .pacing import Pace
 from .records import greatest_records
+from .relayed import Relay, RelayedQuery
 from .requests import Answer, CallerRequest, refusal
-from .run import FirstAnswer, OneTimer, Sender
-from .tools import Pool, RunTools
+from .run import FirstAnswer, OneTimer
+from .shards import Shard, Shards
+from .tools import RunTools
 
 __all__ = ('GatherRun',)
 
-#: With less time than this left of an attempt, its end is due to the time.
-_RETRY_LEAST_MS: Final = 8.0
 #: Shards asked after the target beyond those needed, as one may fail.
 _SPARE_SHARDS: Final = 1
 #: The first wait after the target is random up to 64 ms, the next longer.
 _BACKOFF_START: Final = 4
-_INFINITE: Final = float('inf')
 _OCTETS: Final = (b'content-type', b'application/octet-stream')
 
 
-@final
-class _Shard:
-    """What was asked of one shard.
-
-    :ivar tried: servers that a request may have reached; their number is
-        limited.
-    :ivar missed: servers that none was sent to for want of a connection.
-    """
-
-    __slots__ = ('missed', 'out', 'part', 'service', 'tried')
-
-    def __init__(self, service: ServiceId) -> None:
-        self.service = service
-        self.tried: list[ServerId] = []
-        self.missed: list[ServerId] = []
-        self.out: list[Attempt] = []
-        self.part: Reply | None = None
-
-    @property
-    def asked(self) -> list[ServerId]:
-        """Servers chosen so far, reached or not."""
-        return self.tried + self.missed
-
-    def miss(self, attempt: Attempt) -> None:
-        """Take in that an attempt ended; one that was sent stays tried."""
-        if attempt.sent_ms is None and attempt.server in self.tried:
-            self.tried.remove(attempt.server)
-            self.missed.append(attempt.server)
-
-
 @final
 class GatherRun:  # noqa: WPS214 -- one query's whole course, short methods
     """Asks one server of each shard and answers with the greatest records.
 
     Until the target nothing is lost by waiting, so an incomplete answer is
-    given at the target and not before, unless the rest cannot come.  Servers
-    are told to stop at the target: what a full server can still answer in
-    time then gets its slots, and no queue grows behind what comes too late.
-    Only where no extra attempt is left, those that are not overloaded may take
-    all the caller's time.
+    given at the target and not before, unless the rest cannot come.
     After the target the shards without which there is no answer are asked
     again, and the answer is given as soon as it is complete enough.
     """
@@ -93,12 +50,9 @@
         self._pace = pace
         self._tools = tools
         self._answer = FirstAnswer(give)
-        self._sender = Sender(request, route, tools)
         self._timer = OneTimer(tools)
-        self._shards = [_Shard(shard) for shard in self._gather.shards]
-        self._out = 0
-        self._parts = 0
-        self._is_late = False
+        self._shards = Shards(request, route, pace, tools, self._decide)
+        self._relayed: list[tuple[Relay, RelayedQuery]] = []
         self._late_rounds = 0
         self._is_deciding = False
 
@@ -107,13 +61,18 @@
         self._request.on_gone = self.cancel
         now_ms = self._tools.now_ms()
         self._is_deciding = True
+        self._relay()
         skipped = skipped_shards(
             self._gather, self._tools.replicas, now_ms, self._tools.random
         )
-        for shard in self._shards:
-            self._tools.budgets.earn(shard.service, now_ms)
-            if shard.service in skipped or not self._ask(shard):
-                self._note_left_out(shard)
+        for shard in self._shards.all:
+            if shard.relayed is not None or shard.tried:
+                continue
+            if shard.service in skipped:
+                self._tools.budgets.earn(shard.service, now_ms)
+                self._shards.note_left_out(shard)
+            else:
+                self._shards.ask_first(shard)
         sent_ms = self._tools.now_ms()
         self._timer.call_at(sent_ms + self._pace.hedge_wait_ms, self._hedge)
         self._is_deciding = False
@@ -126,133 +85,45 @@
             'caller_gone',
             request=self._request.log_id,
             route=self._route.name,
-            parts=self._parts,
-            shards=len(self._shards),
+            parts=self._shards.parts,
+            shards=len(self._shards.all),
         )
         self._release(is_slow=False)
 
-    def _ask(self, shard: _Shard) -> bool:
-        """Send to a server of a shard, to a new one while that is allowed."""
-        replica = self._choose(shard)
-        if replica is None:
-            return False
-        if replica.record.server not in shard.tried:
-            shard.tried.append(replica.record.server)
-        attempt = self._sender.send(
-            replica,
-            lambda ended, ending: self._end(shard, ended, ending),
-            self._deadline_ms(replica),
-        )
-        if not attempt.ended:
-            self._out += not shard.out
-            shard.out.append(attempt)
-        return True
-
-    def _deadline_ms(self, replica: Replica[Pool]) -> float:
-        """Say when a server is to stop working on an attempt."""
-        if self._is_late:
-            return self._pace.deadline_ms
-        if replica.throttle.may_skip:
-            # Overloaded: its slots are for what it can answer in time.
-            return self._pace.answer_ms
-        now_ms = self._tools.now_ms()
-        budget = self._tools.budgets.left(replica.record.service, now_ms)
-        return self._pace.answer_ms if budget >= 1 else self._pace.deadline_ms
-
-    def _choose(self, shard: _Shard) -> Replica[Pool] | None:
-        now_ms = self._tools.now_ms()
-        replica: Replica[Pool] | None = None
-        if len(shard.tried) < self._route.attempts:
-            replica = self._tools.replicas.choose(
-                shard.service, now_ms, avoid=shard.asked
-            )
-        if replica is None and self._is_late:
-            # A server that did not answer in time may do so now.
-            replica = self._tools.replicas.choose(
-                shard.service, now_ms, among=shard.tried or shard.missed
-            )
-        return replica
-
-    def _end(self, shard: _Shard, attempt: Attempt, ending: Ending) -> None:
-        self._sender.lessons.learn(attempt, ending)
-        if attempt in shard.out:
-            shard.out.remove(attempt)
-            self._out -= not shard.out
-        shard.miss(attempt)
-        if is_good(ending) and isinstance(ending, Reply):
-            self._take_part(shard, ending)
-        elif not self._is_in_vain(attempt):
-            self._retry(shard, attempt, ending)
-        self._decide()
-
-    def _take_part(self, shard: _Shard, reply: Reply) -> None:
-        shard.part = reply
-        self._parts += 1
-        self._give_up(shard)
-
-    def _give_up(self, shard: _Shard) -> None:
-        self._out -= bool(shard.out)
-        for slower in shard.out:
-            self._sender.give_up(slower, is_slow=True)
-            shard.miss(slower)
-        shard.out.clear()
-
-    def _is_in_vain(self, attempt: Attempt) -> bool:
-        """Whether an attempt ended because its time was over."""
-        return self._tools.now_ms() >= attempt.deadline_ms - _RETRY_LEAST_MS
-
-    def _retry(self, shard: _Shard, attempt: Attempt, ending: Ending) -> None:
-        """Ask another server of the shard after a failure."""
-        self._sender.log_failure(shard.service, attempt, ending)
-        if shard.out or len(shard.tried) >= self._route.attempts:
+    def _relay(self) -> None:
+        """Have other VMs ask some of the shards."""
+        divided = self._tools.relays.divide(self._gather.shards)
+        if not divided:
             return
-        # What never left this VM is no extra load on any server.
-        is_free = attempt.sent_ms is None
-        if is_free or self._sender.take_extra(shard.service, 'retry'):
-            if self._ask(shard):
-                return
-        self._note_left_out(shard)
-
-    def _note_left_out(self, shard: _Shard) -> None:
+        by_service = {shard.service: shard for shard in self._shards.all}
+        for relay, group in divided:
+            self._share(relay, [by_service[service] for service in group])
         self._tools.log.event(
-            'shard_left_out',
+            'query_shared',
             request=self._request.log_id,
-            service=shard.service,
-            tried=len(shard.tried),
-            known=len(self._tools.replicas.of(shard.service)),
+            route=self._route.name,
+            relays=[each[0].vm for each in divided],
         )
 
+    def _share(self, relay: Relay, shards: Sequence[Shard]) -> None:
+        by_service = {shard.service: shard for shard in shards}
+        query = RelayedQuery(
+            self._request,
+            self._route,
+            self._pace,
+            {each.service: self._shards.relay(each) for each in shards},
+            lambda service, tried: by_service[service].learn_tried(tried),
+        )
+        self._relayed.append((relay, query))
+        relay.ask(query)
+
     def _hedge(self) -> None:
-        """Ask a second server of each shard that is slow to answer."""
-        for shard in self._shards:
-            may_ask = len(shard.tried) < self._route.attempts
-            if may_ask and len(shard.out) == 1:
-                self._hedge_shard(shard)
+        self._shards.hedge()
         self._timer.call_at(self._pace.answer_ms, self._reach_target)
 
-    def _hedge_shard(self, shard: _Shard) -> None:
-        now_ms = self._tools.now_ms()
-        self._sender.lessons.note_slow(shard.out[0])
-        first = self._tools.replica_of(shard.out[0].server)
-        other = self._tools.replicas.choose(
-            shard.service, now_ms, avoid=shard.asked
-        )
-        if other is None or is_skipped(other, now_ms, self._tools.random):
-            return
-        if shard.out[0].sent_ms is None:
-            # Nothing left this VM, so another server is no extra attempt.
-            self._give_up(shard)
-            self._ask(shard)
-            return
-        # A server that is worse still would not answer sooner.
-        first_cost = first.cost(now_ms) if first else _INFINITE
-        is_better = other.cost(now_ms) <= first_cost
-        if is_better and self._sender.take_extra(shard.service, 'hedge'):
-            self._ask(shard)
-
     def _reach_target(self) -> None:
         """Answer if that is possible, else ask again for what is needed."""
-        self._is_late = True
+        self._shards.is_late = True
         self._decide()
         if self._answer.is_due:
             self._ask_late()
@@ -262,33 +133,26 @@
         self._late_rounds += 1
         self._timer.call_at(self._pace.end_ms, self._run_out)
         self._is_deciding = True
-        lacking = self._gather.least_parts - self._parts + _SPARE_SHARDS
-        for shard in self._shards:
+        lacking = self._gather.least_parts - self._shards.parts + _SPARE_SHARDS
+        for shard in self._shards.all:
             if lacking > 0 and shard.part is None:
-                lacking -= self._ask_again(shard)
+                lacking -= self._shards.ask_again(shard)
         self._is_deciding = False
         self._decide()
 
-    def _ask_again(self, shard: _Shard) -> bool:
-        """Tell whether an answer of a shard may still come."""
-        if not self._sender.take_extra(shard.service, 'late_retry'):
-            return bool(shard.out)
-        self._give_up(shard)
-        return self._ask(shard)
-
     def _decide(self) -> None:
         """Answer once waiting longer is of no use to the caller."""
         if self._is_deciding or not self._answer.is_due:
             return
-        is_enough = self._parts >= self._gather.least_parts
-        if is_enough and (self._is_late or not self._out):
+        is_enough = self._shards.parts >= self._gather.least_parts
+        if is_enough and (self._shards.is_late or not self._shards.out):
             self._succeed()
-        elif not is_enough and not self._out:
+        elif not is_enough and not self._shards.out:
             self._come_to_nothing()
 
     def _come_to_nothing(self) -> None:
         """Ask again a little later, while there is time and hope."""
-        if not self._is_late:
+        if not self._shards.is_late:
             self._reach_target()
             return
         now_ms = self._tools.now_ms()
@@ -307,8 +171,8 @@
         self._fail(HTTPStatus.GATEWAY_TIMEOUT, 'too few shards in time')
 
     def _succeed(self) -> None:
-        parts = [shard.part for shard in self._shards if shard.part]
-        missing = len(self._shards) - len(parts)
+        parts = [shard.part for shard in self._shards.all if shard.part]
+        missing = len(self._shards.all) - len(parts)
         names = self._tools.names
         stamps = ', '.join(part.stamp for part in parts)
         body = greatest_records(
@@ -333,7 +197,7 @@
 
     def _note_lag(self) -> None:
         """Take in how late an answer was that only waited for its time."""
-        if self._is_late and not self._late_rounds:
+        if self._shards.is_late and not self._late_rounds:
             late_ms = self._tools.now_ms() - self._pace.answer_ms
             self._tools.lag.observe(late_ms)
 
@@ -344,11 +208,10 @@
 
     def _release(self, *, is_slow: bool) -> None:
         self._timer.stop()
-        for shard in self._shards:
-            for attempt in shard.out:
-                self._sender.give_up(attempt, is_slow=is_slow)
-            shard.out.clear()
-        self._out = 0
+        self._shards.release(is_slow=is_slow)
+        for relay, query in self._relayed:
+            relay.drop(query)
+        self._relayed.clear()
 
     def _log_end(self, kind: str, status: HTTPStatus, reason: str = '') -> None:
         self._tools.log.event(
@@ -357,12 +220,12 @@
             route=self._route.name,
             status=status.value,
             reason=reason,
-            parts=self._parts,
-            shards=len(self._shards),
+            parts=self._shards.parts,
+            shards=len(self._shards.all),
             least_parts=self._gather.least_parts,
             lacking={
                 shard.service: shard.tried
-                for shard in self._shards
+                for shard in self._shards.all
                 if not shard.part
             },
             waited_ms=round(self._tools.now_ms() - self._request.arrived_ms, 1),
--- a/src/dandelionstage/gateway/pacing.py
+++ b/src/dandelionstage/gateway/pacing.py
@@ -1,15 +1,18 @@
 """When to ask a second server and when to answer with what is there."""
 
 from dataclasses import dataclass
-from typing import Final, final
+from typing import Final, Protocol, final
 
 from ..catalog.routes import Route
 from .requests import CallerRequest
 
-__all__ = ('HEDGE_QUANTILE', 'AnswerLag', 'Pace', 'Pacing', 'pace_of')
+__all__ = ('AnswerLag', 'Pace', 'Pacing', 'Times', 'pace_of', 'slow_after_ms')
 
-#: Most answers come within this quantile; the rest is worth a hedge.
-HEDGE_QUANTILE: Final = 0.9
+#: Most answers come within this quantile; the rest may be worth a hedge.
+_HEDGE_QUANTILE: Final = 0.9
+#: ... if they have taken this many times the usual time.  Another server
+#: takes the usual time itself, so before that a hedge would seldom win.
+_HEDGE_FACTOR: Final = 2.0
 #: A hedge is sent after this part of the time to the target at the latest,
 #: so that it can still be answered in time.
 _LATEST_HEDGE_FRACTION: Final = 0.45
@@ -86,18 +89,61 @@
     end_ms: float
     deadline_ms: float
 
+    @classmethod
+    def within(
+        cls,
+        began_ms: float,
+        patience_ms: float,
+        slow_ms: float | None,
+        end_ms: float,
+        deadline_ms: float,
+    ) -> 'Pace':
+        """Divide the time until an answer is of less worth.
+
+        :param patience_ms: from the beginning until then.
+        :param slow_ms: time from which a server counts as slow, ``None``
+            while unknown.
+        """
+        return cls(
+            hedge_wait_ms=_hedge_wait_ms(patience_ms, slow_ms),
+            answer_ms=began_ms + patience_ms,
+            end_ms=end_ms,
+            deadline_ms=deadline_ms,
+        )
+
+
+class Times(Protocol):
+    """How long servers take to answer requests of a route."""
+
+    def usual_ms(self, route: str) -> float:
+        """Return the median, or a guess with too few answers."""
+
+    def quantile_ms(self, route: str, quantile: float) -> float | None:
+        """Return a quantile, ``None`` with too few answers."""
+
+
+def slow_after_ms(times: Times, route: str) -> float | None:
+    """Tell after which time another server is likely to be faster.
+
+    :returns: ``None`` while too few answers are known.
+    """
+    high_ms = times.quantile_ms(route, _HEDGE_QUANTILE)
+    if high_ms is None:
+        return None
+    return max(high_ms, _HEDGE_FACTOR * times.usual_ms(route))
+
 
 def pace_of(
     request: CallerRequest,
     route: Route,
-    high_ms: float | None,
+    slow_ms: float | None,
     pacing: Pacing,
     lag_ms: float = 0,
 ) -> Pace:
     """Set the times of one request.
 
-    :param high_ms: a high quantile of this route's answer times, ``None``
-        while unknown.
+    :param slow_ms: time from which a server counts as slow, ``None`` while
+        unknown.
     :param lag_ms: how much later than planned answers reach callers.
     """
     margin_ms = pacing.margin_ms(request) + lag_ms
@@ -107,16 +153,17 @@
     )
     longest_ms = min(request.time_left_ms, route.timeout_ms)
     arrived_ms = request.arrived_ms
-    return Pace(
-        hedge_wait_ms=_hedge_wait_ms(patience_ms, high_ms),
-        answer_ms=arrived_ms + min(patience_ms, longest_ms),
+    return Pace.within(
+        arrived_ms,
+        min(patience_ms, longest_ms),
+        slow_ms,
         end_ms=arrived_ms + max(1, longest_ms - pacing.end_margin_ms),
         deadline_ms=arrived_ms + longest_ms,
     )
 
 
-def _hedge_wait_ms(patience_ms: float, high_ms: float | None) -> float:
+def _hedge_wait_ms(patience_ms: float, slow_ms: float | None) -> float:
     latest_ms = patience_ms * _LATEST_HEDGE_FRACTION
-    if high_ms is None:
+    if slow_ms is None:
         return latest_ms
-    return max(_LEAST_HEDGE_MS, min(high_ms, latest_ms))
+    return max(_LEAST_HEDGE_MS, min(slow_ms, latest_ms))
--- a/src/dandelionstage/gateway/tools.py
+++ b/src/dandelionstage/gateway/tools.py
@@ -2,7 +2,7 @@
 
 from collections import OrderedDict
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from random import Random
 from typing import Final, Protocol, final
 
@@ -14,6 +14,7 @@
 from .attempt import Attempt
 from .delivery import Deliveries
 from .pacing import AnswerLag
+from .relayed import NoRelays, Relays
 from .reply_reader import HeaderNames
 
 __all__ = ('Pool', 'RouteTimes', 'RunTools', 'Timer')
@@ -76,6 +77,7 @@
     """Clock, random numbers, servers and budgets.
 
     :ivar call_later: runs something after so many milliseconds.
+    :ivar relays: VMs that large queries are shared with.
     """
 
     replicas: Replicas[Pool]
@@ -88,6 +90,7 @@
     now_ms: Callable[[], float]
     call_later: Callable[[float, Callable[[], None]], Timer]
     random: Random
+    relays: Relays = field(default_factory=NoRelays)
 
     def replica_of(self, server: ServerId) -> Replica[Pool] | None:
         """Return a server that is still in use."""
--- a/src/dandelionstage/platform/node.py
+++ b/src/dandelionstage/platform/node.py
@@ -18,12 +18,17 @@
 from ..gateway.status_port import StatusPort
 from ..gateway.tools import Pool, RouteTimes, RunTools
 from ..lifecycle.owning import Owner
+from ..model.ids import VmId
 from ..operations.events import EventLog
 from ..placing.allowance import links_allowed
 from ..placing.extra_budget import ExtraBudgets
 from ..placing.replicas import Replicas
 from ..placing.slow_news import SlowServer, heed_slow, tell_slow
+from ..relaying.relay_pool import RelayPool
+from ..relaying.relay_port import RelayPort
+from ..relaying.relay_vm import WallTools
 from ..spread.frames import host_and_port
+from ..spread.members import Address
 from .names import HEADERS, METRICS_PORT, METRICS_TARGET, READY_TARGET
 from .settings import BootSettings
 from .settings_file import SettingsFile
@@ -56,6 +61,12 @@
         self._replicas: Replicas[Pool] = Replicas(
             settings.zone, self._make_pool, random
         )
+        self._relays = RelayPool(
+            self._sources.own_vm,
+            self._list_near,
+            self._relay_port_of,
+            WallTools(now_ms, _call_later, log),
+        )
         tools = RunTools(
             replicas=self._replicas,
             budgets=self._budgets,
@@ -67,6 +78,7 @@
             now_ms=now_ms,
             call_later=_call_later,
             random=random,
+            relays=self._relays,
         )
         self._callers = CallerPort(
             host_and_port(settings.listen_addrs.front),
@@ -77,6 +89,12 @@
         )
         grace_ms = settings.bounds.grace_s * _MS_PER_S
         self._ending = Ending(self._callers, EndLimits.within(grace_ms), log)
+        self._relay_port = RelayPort(
+            settings.relay_port(settings.ip),
+            tools,
+            self._callers.unread_ms,
+            lambda: not self._ending.has_begun,
+        )
 
     def stop(self) -> None:
         """Begin to stop; the callers' requests are finished first."""
@@ -94,19 +112,17 @@
 
     async def _open(self, stack: AsyncExitStack) -> None:
         settings = self._settings_file.settings
-        catalog = self._sources.catalog
-        catalog.on_server.append(self._keep_server)
-        spread = self._sources.spread
-        spread.tell_slow = lambda: tell_slow(self._replicas, now_ms())
-        spread.heed_slow = self._heed_slow
-        spread.lend = lambda borrower, asked_ms: self._budgets.lend(
-            borrower, asked_ms, now_ms()
-        )
-        catalog.on_gone.append(self._drop_server)
-        catalog.on_routes.append(self._note_routes)
+        self._join_parts()
         stack.callback(self._log.flush)
         stack.callback(self._log.event, 'stopped')
-        for owner in (self._sources, *self._status_ports(), self._callers):
+        owners = (
+            self._sources,
+            self._relays,
+            self._relay_port,
+            *self._status_ports(),
+            self._callers,
+        )
+        for owner in owners:
             await stack.enter_async_context(owner)
         following = asyncio.get_running_loop().create_task(
             self._settings_file.follow(self._log, self._use_settings)
@@ -118,6 +134,19 @@
             callers=settings.listen_addrs.front,
         )
 
+    def _join_parts(self) -> None:
+        """Have the parts tell each other what is new."""
+        catalog = self._sources.catalog
+        catalog.on_server.append(self._keep_server)
+        catalog.on_gone.append(self._drop_server)
+        catalog.on_routes.append(self._note_routes)
+        spread = self._sources.spread
+        spread.tell_slow = lambda: tell_slow(self._replicas, now_ms())
+        spread.heed_slow = self._heed_slow
+        spread.lend = lambda borrower, asked_ms: self._budgets.lend(
+            borrower, asked_ms, now_ms()
+        )
+
     def _use_settings(self, settings: BootSettings) -> None:
         self._budgets.use_terms(settings.budget_terms)
         self._sources.use_settings(settings)
@@ -149,6 +178,14 @@
         accepted = service.max_connections if service else 0
         return links_allowed(accepted, len(self._sources.spread.members))
 
+    def _list_near(self) -> list[Address]:
+        """List the other VMs of this data centre."""
+        return self._sources.spread.members.near(now_ms())
+
+    def _relay_port_of(self, vm: VmId) -> tuple[str, int]:
+        settings = self._settings_file.settings
+        return settings.relay_port(host_and_port(vm)[0])
+
     def _keep_server(self, record: ServerRecord) -> None:
         self._log.event(
             'server_listed',
--- a/src/dandelionstage/platform/settings.py
+++ b/src/dandelionstage/platform/settings.py
@@ -87,3 +87,7 @@
     def inner_address(self, host: str) -> str:
         """Where a VM talks to the others: on the first of the free ports."""
         return '{0}:{1}'.format(host, self.internal_port_range[0])
+
+    def relay_port(self, host: str) -> tuple[str, int]:
+        """Where a VM takes shards of queries: on the next free port."""
+        return host, self.internal_port_range[0] + 1
--- a/src/dandelionstage/platform/sources.py
+++ b/src/dandelionstage/platform/sources.py
@@ -27,6 +27,7 @@
 
     :ivar catalog: the newest that is known.
     :ivar spread: the talk with other VMs.
+    :ivar own_vm: this VM's name among them.
     """
 
     def __init__(
@@ -34,8 +35,9 @@
     ) -> None:
         """Build the parts; nothing is opened before this is entered."""
         self.catalog = Catalog(Interpreter(log))
+        self.own_vm = _address(settings, settings.ip)
         self.spread = SpreadNode(
-            _address(settings, settings.ip),
+            self.own_vm,
             settings.zone,
             self.catalog,
             log,
--- /dev/null
+++ b/src/dandelionstage/relaying/__init__.py
@@ -0,0 +1,1 @@
+"""Shares large queries with other VMs of the data centre."""
--- a/src/dandelionstage/spread/members.py
+++ b/src/dandelionstage/spread/members.py
@@ -20,6 +20,9 @@
 #: size adds a round.
 _SMALL_FLEET: Final = 32
 _ROUND_MS: Final = 400.0
+#: In a fleet of hundreds, word of a certain VM arrives every few seconds;
+#: twice that keeps it listed while it lives.
+_NEAR_MS: Final = 10_000.0
 #: A VM that is gone for good still counts for shares of fleet-wide limits
 #: for this long: it may only be cut off from here.
 _COUNTED_MS: Final = 600_000.0
@@ -104,6 +107,20 @@
         oldest_ms = now_ms - _ALIVE_MS - doublings * _ROUND_MS
         return [vm for vm in self._seen if self._is_heard(vm, oldest_ms)]
 
+    def near(self, now_ms: float) -> list[Address]:
+        """List the other VMs of this data centre that may be alive.
+
+        The list is longer than that of VMs surely alive, so that it is the
+        same everywhere; who asks one of them finds out.
+        """
+        oldest_ms = now_ms - _NEAR_MS
+        return [
+            vm
+            for vm, seen in self._seen.items()
+            if seen.data_centre == self._data_centre
+            and seen.heard_ms >= oldest_ms
+        ]
+
     def to_tell(
         self, now_ms: float, random: Random
     ) -> Iterator[tuple[Address, Sighting]]:
--- a/tests/test_gather_run.py
+++ b/tests/test_gather_run.py
@@ -1,6 +1,7 @@
 """A query over many shards: hedged, complete enough, in time, truthful."""
 
 import itertools
+from dataclasses import replace
 from random import Random
 
 import pytest
@@ -8,7 +9,13 @@
 from dandelionstage.gateway.attempt import Loss
 from dandelionstage.gateway.delivery import Deliveries
 from dandelionstage.gateway.gather_run import GatherRun
-from dandelionstage.gateway.pacing import AnswerLag, Pacing, pace_of
+from dandelionstage.gateway.pacing import (
+    AnswerLag,
+    Pacing,
+    pace_of,
+    slow_after_ms,
+)
+from dandelionstage.gateway.tools import RouteTimes
 
 from .gateway_world import (
     HandPool,
@@ -334,3 +341,130 @@
         only(world.out('s0')).end(good())
     assert world.events('server_slow') == 1
     assert world.events('server_usual') == 1
+
+
+def make_times(*elapsed_ms):
+    times = RouteTimes()
+    for each in elapsed_ms:
+        times.add('q', each)
+    return times
+
+
+def test_servers_that_answer_alike_are_not_hedged_before_twice_the_usual():
+    """Load pattern: no server pauses, so a hedge would only add load."""
+    times = make_times(*range(18, 28))
+    assert slow_after_ms(times, 'q') == 2 * times.usual_ms('q')
+
+
+def test_a_tail_far_beyond_the_usual_time_is_hedged_at_its_beginning():
+    """Load pattern: a server in five pauses."""
+    times = make_times(10, 10, 10, 10, 10, 10, 10, 10, 90, 120)
+    assert slow_after_ms(times, 'q') == 120
+
+
+def test_nothing_is_called_slow_before_enough_answers_are_known():
+    assert slow_after_ms(make_times(10, 10), 'q') is None
+
+
+def test_a_pause_of_the_process_starts_no_late_hedge():
+    world = World(dict.fromkeys(SHARDS, 2))
+    start(world)
+    world.timers.now_ms = 3000.0
+    world.timers.advance(3000.0)
+    assert not world.events('hedge')
+
+
+def test_an_answer_over_many_shards_is_the_same_when_shared():
+    world = World(dict.fromkeys(SHARDS, 2))
+    relay = RelayStub(SHARDS[:6])
+    world.tools = replace(world.tools, relays=relay)
+    start(world)
+    assert not any(world.sent(shard) for shard in SHARDS[:6])
+    for shard, attempt in only(relay.asked).attempts.items():
+        attempt.sent_ms = 1.0
+        attempt.end(good(stamp='stamp-{0}'.format(shard)))
+    answer_all(world, SHARDS[6:])
+    check_whole(only(world.answers))
+
+
+def test_shards_that_were_not_relayed_are_asked_without_extra_attempts():
+    world = World(dict.fromkeys(SHARDS, 2), budget=0.0)
+    relay = RelayStub(SHARDS[:6])
+    world.tools = replace(world.tools, relays=relay)
+    start(world)
+    for attempt in tuple(only(relay.asked).attempts.values()):
+        attempt.end(Loss.WITHDRAWN)
+    answer_all(world, SHARDS)
+    check_whole(only(world.answers))
+    assert not world.events('retry')
+
+
+def test_shards_lost_with_a_relay_cost_extra_attempts():
+    world = World(dict.fromkeys(SHARDS, 2), budget=0.0)
+    relay = RelayStub(SHARDS[:1])
+    world.tools = replace(world.tools, relays=relay)
+    start(world)
+    for attempt in tuple(only(relay.asked).attempts.values()):
+        attempt.sent_ms = 1.0
+        attempt.end(Loss.BROKEN)
+    assert not world.sent('s0')
+    assert world.events('budget_spent') == 1
+
+
+def test_a_relay_and_this_vm_keep_to_the_attempts_together():
+    """A relay that is silent may have sent to one server."""
+    world = World(dict.fromkeys(SHARDS, 3))
+    relay = RelayStub(SHARDS)
+    world.tools = replace(world.tools, relays=relay)
+    start(world, attempts=2)
+    for attempt in only(relay.asked).attempts.values():
+        attempt.sent_ms = 1.0
+    world.timers.advance(400)
+    assert max(len(world.sent(shard)) for shard in SHARDS) == 1
+
+
+def test_servers_that_a_relay_tried_are_not_asked_anew():
+    world = World(dict.fromkeys(SHARDS, 3))
+    relay = RelayStub(SHARDS[:1])
+    world.tools = replace(world.tools, relays=relay)
+    start(world, attempts=3)
+    query = only(relay.asked)
+    query.learn_tried('s0', ['s0-0', 's0-1'])
+    query.attempts['s0'].sent_ms = 1.0
+    query.attempts['s0'].end(Loss.RELAY_EMPTY)
+    assert [each.server for each in world.sent('s0')] == ['s0-2']
+
+
+def test_a_relay_is_told_when_the_query_is_over():
+    world = World(dict.fromkeys(SHARDS, 2))
+    relay = RelayStub(SHARDS[:1])
+    world.tools = replace(world.tools, relays=relay)
+    made = start(world)
+    made.cancel()
+    assert relay.dropped == relay.asked
+
+
+def check_whole(answer):
+    stamps = headers(answer)[b'x-parts'].decode().split(', ')
+    assert stamps == ['stamp-{0}'.format(shard) for shard in SHARDS]
+    assert headers(answer)[b'x-missing'] == b'0'
+
+
+class RelayStub:
+    """Takes some shards and answers when the test says so."""
+
+    vm = 'relay'
+
+    def __init__(self, shards):
+        self.shards = shards
+        self.asked = []
+        self.dropped = []
+
+    def divide(self, shards):
+        return [(self, self.shards)]
+
+    def ask(self, query):
+        self.asked.append(query)
+
+    def drop(self, query):
+        self.dropped.append(query)
