--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -6,7 +6,6 @@
 import pytest
 
 from tools.soak import callers
-from tools.soak.callers import Asked
 from tools.soak.place import ORDERS
 from tools.soak.promises import broken_promises
 from tools.soak.run import Plan, soak
@@ -42,7 +41,7 @@
 
 
 def make_asked(place, path='/o/x', status=200, **more):
-    asked = Asked('r1', path, life_of(place), 5000.0, status, 5100.0)
+    asked = callers.Asked('r1', path, life_of(place), 5000.0, status, 5100.0)
     for name, content in more.items():
         setattr(asked, name, content)
     return asked
--- a/tools/soak/promises.py
+++ b/tools/soak/promises.py
@@ -195,13 +195,21 @@
 
 
 def _check_attempts(place: Place) -> Iterator[str]:
-    servers: dict[tuple[str, str], set[str]] = {}
+    sent = _servers_by_request(place)
+    over = {key for key, servers in sent.items() if len(servers) > _ATTEMPTS}
+    requests = {request for request, _service in over}
+    if len(requests) > _EXCUSED:
+        yield 'sent to too many servers: {0}'.format(sorted(over))
+
+
+def _servers_by_request(place: Place) -> dict[tuple[str, str], set[str]]:
+    """Tell which servers of each service a request came to."""
+    sent: dict[tuple[str, str], set[str]] = {}
     for name, server in place.platform.servers.items():
+        service = place.service(name)
         for _at_ms, request in server.arrived:
-            servers.setdefault((request, place.service(name)), set()).add(name)
-    over = [key for key, asked in servers.items() if len(asked) > _ATTEMPTS]
-    if len({request for request, _ in over}) > _EXCUSED:
-        yield 'sent to more than {0} servers: {1}'.format(_ATTEMPTS, over[:5])
+            sent.setdefault((request, service), set()).add(name)
+    return sent
 
 
 def _check_budgets(place: Place) -> Iterator[str]:
