--- a/tools/soak/promises.py
+++ b/tools/soak/promises.py
@@ -195,21 +195,17 @@
 
 
 def _check_attempts(place: Place) -> Iterator[str]:
-    sent = _servers_by_request(place)
-    over = {key for key, servers in sent.items() if len(servers) > _ATTEMPTS}
-    requests = {request for request, _service in over}
-    if len(requests) > _EXCUSED:
+    tried = Counter(sent[:2] for sent in set(_list_sent(place)))
+    over = {key for key in tried if tried[key] > _ATTEMPTS}
+    if len(dict(over)) > _EXCUSED:
         yield 'sent to too many servers: {0}'.format(sorted(over))
 
 
-def _servers_by_request(place: Place) -> dict[tuple[str, str], set[str]]:
-    """Tell which servers of each service a request came to."""
-    sent: dict[tuple[str, str], set[str]] = {}
+def _list_sent(place: Place) -> Iterator[tuple[str, str, str]]:
+    """List the request, service and server of each arrival."""
     for name, server in place.platform.servers.items():
-        service = place.service(name)
-        for _at_ms, request in server.arrived:
-            sent.setdefault((request, service), set()).add(name)
-    return sent
+        for arrival in server.arrived:
+            yield arrival[1], place.service(name), name
 
 
 def _check_budgets(place: Place) -> Iterator[str]:
