--- a/src/dandelionstage/spread/pulls.py
+++ b/src/dandelionstage/spread/pulls.py
@@ -81,8 +81,7 @@
 
     async def _pull_from(self, peer: Address) -> None:
         try:
-            async with asyncio.timeout(_TIMEOUT_S):
-                state = await self._ask(peer)
+            state = await asyncio.wait_for(self._ask(peer), _TIMEOUT_S)
         except _FAULTS as fault:
             self._log.event('pull_failed', peer=peer, fault=repr(fault))
             return
@@ -143,8 +142,7 @@
         writer: asyncio.StreamWriter,
     ) -> None:
         try:
-            async with asyncio.timeout(_TIMEOUT_S):
-                await self._answer(reader, writer)
+            await asyncio.wait_for(self._answer(reader, writer), _TIMEOUT_S)
         except _FAULTS as fault:
             self._log.event('pull_unanswered', fault=repr(fault))
         writer.close()
--- a/tools/soak/promises.py
+++ b/tools/soak/promises.py
@@ -195,7 +195,8 @@
 
 
 def _check_attempts(place: Place) -> Iterator[str]:
-    tried = Counter(sent[:2] for sent in set(_list_sent(place)))
+    sent = set(_list_sent(place))
+    tried = Counter(each[:2] for each in sent)
     over = {key for key in tried if tried[key] > _ATTEMPTS}
     if len(dict(over)) > _EXCUSED:
         yield 'sent to too many servers: {0}'.format(sorted(over))
