A shard whose owners all refuse for a moment is not given up

A daemon that has just started hedges after 50 ms against answers of 1,500 ms and so has soon no budget.

Change: while no attempt at a shard has cost a backend server any work, a retry needs no budget, and nine attempts are made instead of four. The test of it fails without the change.

--- a/src/dandelionstage/query/attempts.py
+++ b/src/dandelionstage/query/attempts.py
@@ -19,16 +19,19 @@
 
 #: Attempts at one shard under one pin, the first one included.
 _MAX_ATTEMPTS: Final = 4
+#: ... while owners refuse and no backend server has had work: with the backoff
+#: that is about 0.3 s, in which VMs hear that one of them stops or is back.
+_MAX_REFUSED: Final = 9
 
 _Commands = Iterator[QueryCommand]
 
 
 @final
-class Attempts:
+class Attempts:  # noqa: WPS214 -- every kind of attempt, short methods
     """First attempts, retries and hedges under one pin.
 
-    A retry or a hedge needs the customer's budget, but for a move to another
-    owner or replica after a refusal that cost no backend server any work.
+    A retry or a hedge needs the customer's budget, unless no attempt before it
+    cost a backend server any work.
     """
 
     def __init__(
@@ -70,6 +73,7 @@
         progress = self._shards[attempt.shard]
         move = move_after(verdict.reason)
         news = progress.rule_out(move, attempt, reply)
+        progress.reached = progress.reached or not _is_free(verdict)
         if move is Move.GIVE_UP or progress.all_gone:
             self._give_up(progress, verdict.reason)
             return
@@ -90,7 +94,7 @@
         target = pick(self._query, progress, self._tools, now_ms)
         if target is None:
             self._give_up(progress, Reason.NO_REPLICA)
-        elif self._tools.budgets.of(self._query.contract).take():
+        elif self._is_paid(progress):
             self._tally.events[Reason.HEDGED] += bool(progress.out)
             yield self._dispatch.send(progress, target, now_ms)
         else:
@@ -98,6 +102,12 @@
             self._dispatch.plan_hedge(progress, now_ms)
             self._give_up(progress, Reason.RETRY_BUDGET_EMPTY)
 
+    def _is_paid(self, progress: ShardProgress) -> bool:
+        """Take what the next attempt costs: nothing while none has run."""
+        if not progress.out and not progress.reached:
+            return True
+        return self._tools.budgets.of(self._query.contract).take()
+
     def _is_straggler(self, progress: ShardProgress, now_ms: float) -> bool:
         waited = measure_wait(self._query, progress, self._tools, now_ms)
         return is_straggler(self._shards, waited)
@@ -114,7 +124,8 @@
             self._tools.random,
         )
         too_late = due_ms >= self._query.deadline_ms
-        if too_late or progress.attempts >= _MAX_ATTEMPTS:
+        most = _MAX_ATTEMPTS if progress.reached else _MAX_REFUSED
+        if too_late or progress.attempts >= most:
             self._give_up(progress, verdict.reason)
         else:
             self._tally.events[verdict.reason] += 1
--- a/src/dandelionstage/query/shard.py
+++ b/src/dandelionstage/query/shard.py
@@ -41,6 +41,7 @@
     :ivar avoid: replicas that refused or failed.
     :ivar busy: data centres whose owner could not take the shard now.
     :ivar gone: those of them that lack the shard in the pinned snapshot.
+    :ivar reached: whether a backend server may have had work with it.
     """
 
     def __init__(
@@ -55,6 +56,7 @@
         self.due_ms = math.inf
         self.attempts = 0
         self.open = True
+        self.reached = False
         self.avoid: frozenset[BackendId] = frozenset()
         self.gone: frozenset[BackendId] = frozenset()
         self._shunned: set[VmId] = set()
--- a/tests/test_query_execution.py
+++ b/tests/test_query_execution.py
@@ -72,6 +72,28 @@
     assert [one.vm for one in again] == [fleet.VMS[1]]
 
 
+def test_owners_that_all_refuse_for_a_moment_cost_no_shard():
+    """A rolling stop seen differently from VM to VM, without any budget."""
+    restarted_ms = 20
+    reasons = {
+        fleet.VMS[0]: Reason.STOPPING,
+        fleet.VMS[1]: Reason.PEER_UNREACHABLE,
+        fleet.VMS[2]: Reason.STOPPING,
+    }
+
+    def serve(send):
+        if player.now_ms < restarted_ms:
+            return [(1, fleet.refused(send, reasons[send.vm]))]
+        return [(1, fleet.answered(send))]
+
+    published = fleet.workload(fleet.snapshot('S1', 1, fleet.shard_map(1)))
+    player = fleet.Player(fleet.tools(published), serve)
+    player.tools.random.seed(3)
+    answer = player.play(fleet.query(extra_load_fraction=0))
+    assert player.now_ms >= restarted_ms
+    assert fleet.coverage_of(answer).complete
+
+
 def test_hedge_and_cancelled_loser():
     execution, commands = begin()
     first, *others = fleet.sends(commands)
