--- a/src/dandelionstage/platform/node.py
+++ b/src/dandelionstage/platform/node.py
@@ -26,7 +26,7 @@
 from ..placing.slow_news import SlowServer, heed_slow, tell_slow
 from ..relaying.relay_pool import RelayPool
 from ..relaying.relay_port import RelayPort
-from ..relaying.relay_vm import WallTools
+from ..relaying.relay_vm import RelayTools
 from ..spread.frames import host_and_port
 from ..spread.members import Address
 from .names import HEADERS, METRICS_PORT, METRICS_TARGET, READY_TARGET
@@ -65,7 +65,7 @@
             self._sources.own_vm,
             self._list_near,
             self._relay_port_of,
-            WallTools(now_ms, _call_later, log),
+            RelayTools(now_ms, _call_later, log),
         )
         tools = RunTools(
             replicas=self._replicas,
--- a/src/dandelionstage/relaying/relay_pool.py
+++ b/src/dandelionstage/relaying/relay_pool.py
@@ -9,7 +9,7 @@
 from ..lifecycle.owning import Owner
 from ..model.ids import VmId
 from ..placing.grouping import GroupRanking, divide
-from .relay_vm import RelayVm, WallTools
+from .relay_vm import RelayVm, RelayTools
 
 __all__ = ('RelayPool',)
 
@@ -23,7 +23,7 @@
         own: VmId,
         list_vms: Callable[[], Sequence[VmId]],
         port_of: Callable[[VmId], tuple[str, int]],
-        tools: WallTools,
+        tools: RelayTools,
     ) -> None:
         """Start without a connection.
 
--- a/src/dandelionstage/relaying/relay_vm.py
+++ b/src/dandelionstage/relaying/relay_vm.py
@@ -15,7 +15,7 @@
 from .link import RelayLink
 from .messages import Ask, Drop, Message, Part, Parts, Taken
 
-__all__ = ('RelayVm', 'WallTools')
+__all__ = ('RelayVm', 'RelayTools')
 
 #: A VM that runs says within this part of the time to the target that it has
 #: taken the shards, and within these bounds: a small core may be at work on
@@ -24,16 +24,17 @@
 _TAKEN_FRACTION: Final = 0.25
 _TAKEN_LEAST_MS: Final = 12.0
 _TAKEN_MOST_MS: Final = 40.0
-#: A VM that failed to take shards is not asked for this long; hellos need as
-#: long to show that it is gone.
+#: A VM that failed to take shards is not asked for this long: about as long as
+#: a process takes to be started again.
 _AVOIDED_MS: Final = 2000.0
+#: Long after it was given up; this only ends the kernel's attempts.
 _CONNECT_TIMEOUT_S: Final = 1.0
 _OK: Final = 200
 
 
 @final
-class WallTools:
-    """Clock and timers.
+class RelayTools:
+    """What all VMs that relay are asked with.
 
     :ivar call_later: runs something after so many milliseconds.
     """
@@ -92,7 +93,7 @@
     :ivar avoided_until_ms: not asked before then, as it failed.
     """
 
-    def __init__(self, vm: VmId, port: tuple[str, int], tools: WallTools):
+    def __init__(self, vm: VmId, port: tuple[str, int], tools: RelayTools):
         """Start without a connection."""
         self.vm = vm
         self.avoided_until_ms = float('-inf')
@@ -106,7 +107,7 @@
         self._heard_ms = float('-inf')
 
     def ask(self, query: RelayedQuery) -> None:
-        """Have it ask the shards."""
+        """Have it ask the shards; given up unless it soon says it does."""
         asked = _Asked(next(self._numbers), query)
         self._asked[asked.number] = asked
         now_ms = self._tools.now_ms()
