A relay and the VM that has the query keep to a route's attempts together

At the target that VM asks lacking shards again by what relays have told; a relay that is late with that word, or that retries after it, adds a server that nobody counts.

Change: from its target on a relay sends to no further server and says so; the first VM leaves its shards alone until then. A relay that says nothing within 40 ms after the target has failed. Tests of both fail without the change.

--- a/src/dandelionstage/gateway/gather_run.py
+++ b/src/dandelionstage/gateway/gather_run.py
@@ -112,7 +112,9 @@
             self._route,
             self._pace,
             {each.service: self._shards.relay(each) for each in shards},
-            lambda service, tried: by_service[service].learn_tried(tried),
+            lambda service, tried, is_all: by_service[service].learn_tried(
+                tried, is_all=is_all
+            ),
         )
         self._relayed.append((relay, query))
         relay.ask(query)
--- a/src/dandelionstage/gateway/relayed.py
+++ b/src/dandelionstage/gateway/relayed.py
@@ -20,14 +20,15 @@
     """Some shards of a query, each with an attempt that waits for its part.
 
     :ivar attempts: by shard; each ends with the part or a loss.
-    :ivar learn_tried: told which servers of a shard were sent to.
+    :ivar learn_tried: told which servers of a shard were sent to, and whether
+        that is all that will be.
     """
 
     request: CallerRequest
     route: Route
     pace: Pace
     attempts: Mapping[ServiceId, Attempt]
-    learn_tried: Callable[[ServiceId, Iterable[ServerId]], None]
+    learn_tried: Callable[[ServiceId, Iterable[ServerId], bool], None]
 
     @property
     def is_open(self) -> bool:
--- a/src/dandelionstage/gateway/shards.py
+++ b/src/dandelionstage/gateway/shards.py
@@ -7,7 +7,7 @@
 from ..catalog.servers import ServerId
 from ..placing.replicas import Replica
 from ..placing.shard_choice import is_skipped
-from .attempt import Attempt, Ending, Loss, Reply
+from .attempt import Attempt, Ending, Reply
 from .lessons import is_good
 from .pacing import Pace
 from .requests import CallerRequest
@@ -30,10 +30,12 @@
     :ivar missed: servers that none was sent to for want of a connection.
     :ivar relayed: what another VM was asked to do here, while it does.
     :ivar hidden: servers that it may have sent to without saying which.
+    :ivar is_told: whether it has said all that it sent to.
     """
 
     __slots__ = (
         'hidden',
+        'is_told',
         'missed',
         'out',
         'part',
@@ -48,6 +50,7 @@
         self.tried: list[ServerId] = []
         self.missed: list[ServerId] = []
         self.hidden = 0
+        self.is_told = False
         self.out: list[Attempt] = []
         self.relayed: Attempt | None = None
         self.part: Reply | None = None
@@ -67,8 +70,12 @@
             self.tried.remove(attempt.server)
             self.missed.append(attempt.server)
 
-    def learn_tried(self, servers: Iterable[ServerId]) -> None:
-        """Take in which servers another VM has sent to."""
+    def learn_tried(self, servers: Iterable[ServerId], *, is_all: bool) -> None:
+        """Take in which servers another VM has sent to.
+
+        :param is_all: whether it sends to no others.
+        """
+        self.is_told = is_all
         self.tried.extend(each for each in servers if each not in self.tried)
 
 
@@ -84,6 +91,7 @@
     :ivar out: shards that an answer may still come from.
     :ivar parts: shards that have answered.
     :ivar is_late: whether the target has passed.
+    :ivar is_closed: whether no further server is to be sent to.
     """
 
     def __init__(
@@ -101,6 +109,7 @@
         self.out = 0
         self.parts = 0
         self.is_late = False
+        self.is_closed = False
         self._request = request
         self._route = route
         self._pace = pace
@@ -157,11 +166,11 @@
 
     def ask_again(self, shard: Shard) -> bool:
         """Tell whether an answer of a shard may still come."""
+        if shard.relayed is not None and not shard.is_told:
+            # The other VM may still be sending; its word is due.
+            return True
         if not self._sender.take_extra(shard.service, 'late_retry'):
             return bool(shard.out)
-        if shard.relayed is not None and not shard.tried:
-            # The other VM has not said what it did, and may have sent.
-            shard.hidden = 1
         self._give_up(shard)
         return self.ask(shard)
 
@@ -255,15 +264,15 @@
             # It was not told to; this is the first attempt at the shard.
             self.ask_first(shard)
             return
-        if ending is Loss.BROKEN and not shard.tried:
+        if not shard.is_told and not shard.tried:
             shard.hidden = 1
-        if not self._is_in_vain(attempt):
+        if self.is_late or not self._is_in_vain(attempt):
             self._retry(shard, attempt, ending)
 
     def _retry(self, shard: Shard, attempt: Attempt, ending: Ending) -> None:
         """Ask another server of the shard after a failure."""
         self._sender.log_failure(shard.service, attempt, ending)
-        if shard.out or not shard.may_ask(self._route):
+        if self.is_closed or shard.out or not shard.may_ask(self._route):
             return
         # What never left this VM is no extra load on any server.
         is_free = attempt.sent_ms is None
--- a/src/dandelionstage/relaying/messages.py
+++ b/src/dandelionstage/relaying/messages.py
@@ -73,12 +73,14 @@
     """Brings parts, and says what was tried where there is none.
 
     :ivar tried: servers sent to, by shard, for shards without a part.
+    :ivar is_closed: whether nothing more is sent to servers.
     :ivar is_last: whether no more will come.
     """
 
     number: int
     parts: Sequence[Part]
     tried: dict[str, Sequence[str]]
+    is_closed: bool
     is_last: bool
 
 
--- a/src/dandelionstage/relaying/relay_run.py
+++ b/src/dandelionstage/relaying/relay_run.py
@@ -23,7 +23,9 @@
     """Asks the shards and reports what came of it.
 
     It reports once all have ended, and otherwise when it hedges, at the
-    target, and then each part as it comes.
+    target, and then each part as it comes.  From the target on it sends to no
+    further server: the VM that has the query knows what was tried by then and
+    goes on itself, so that both together keep to the route's attempts.
     """
 
     def __init__(
@@ -86,11 +88,12 @@
         self._tell(is_last=False)
 
     def _reach_target(self) -> None:
-        self._shards.is_late = True
+        self._shards.is_closed = True
         self._timer.call_at(self._pace.end_ms, self._run_out)
         self._tell(is_last=False)
 
     def _run_out(self) -> None:
+        self._shards.is_closed = True
         self._tell(is_last=True)
         self.cancel()
 
@@ -100,7 +103,7 @@
             return
         if not self._shards.out:
             self._run_out()
-        elif self._shards.is_late:
+        elif self._shards.is_closed:
             self._tell(is_last=False)
 
     def _tell(self, *, is_last: bool) -> None:
@@ -112,7 +115,9 @@
             elif shard.service not in self._reported:
                 self._reported.add(shard.service)
                 parts.append(self._part_of(shard))
-        self._report(Parts(self._number, parts, tried, is_last))
+        self._report(
+            Parts(self._number, parts, tried, self._shards.is_closed, is_last)
+        )
 
     def _part_of(self, shard: Shard) -> Part:
         assert shard.part is not None  # noqa: S101 -- checked by the caller
--- a/src/dandelionstage/relaying/relay_vm.py
+++ b/src/dandelionstage/relaying/relay_vm.py
@@ -29,6 +29,9 @@
 _AVOIDED_MS: Final = 2000.0
 #: Long after it was given up; this only ends the kernel's attempts.
 _CONNECT_TIMEOUT_S: Final = 1.0
+#: A VM that is busy says what it has tried so long after the target; one that
+#: says nothing then has failed.
+_WORD_MS: Final = 40.0
 _OK: Final = 200
 
 
@@ -71,7 +74,9 @@
     def take(self, message: Parts) -> None:
         """Take in parts and what was tried for others."""
         for service, servers in message.tried.items():
-            self.query.learn_tried(ServiceId(service), map(ServerId, servers))
+            self.query.learn_tried(
+                ServiceId(service), map(ServerId, servers), message.is_closed
+            )
         for part in message.parts:
             attempt = self.query.attempts.get(ServiceId(part.shard))
             if attempt is not None:
@@ -173,8 +178,16 @@
         elif isinstance(message, Parts):
             self._take_parts(message)
 
+    def _expect_word(self, asked: _Asked) -> Timer:
+        """Give a query up when its relay does not say what it has tried."""
+        now_ms = self._tools.now_ms()
+        left_ms = asked.query.pace.answer_ms - now_ms
+        return self._tools.call_later(
+            max(0, left_ms) + _WORD_MS, lambda: self._miss(asked, now_ms)
+        )
+
     def _miss(self, asked: _Asked, asked_ms: float) -> None:
-        """Wait no longer for word that a query was taken."""
+        """Wait no longer for word on a query."""
         if self._heard_ms < asked_ms:
             self._give_up('silent')
             return
@@ -188,7 +201,9 @@
         if asked is None:
             return
         asked.stop_timer()
-        if not taken.is_taken:
+        if taken.is_taken:
+            asked.timer = self._expect_word(asked)
+        else:
             self._avoid('refused')
             self._asked.pop(taken.number)
             for attempt in asked.query.attempts.values():
@@ -199,6 +214,8 @@
         asked = self._asked.get(message.number)
         if asked is None:
             return
+        if message.is_closed:
+            asked.stop_timer()
         if message.is_last:
             self._asked.pop(message.number)
         asked.take(message)
--- a/tests/test_gather_run.py
+++ b/tests/test_gather_run.py
@@ -420,7 +420,29 @@
     for attempt in only(relay.asked).attempts.values():
         attempt.sent_ms = 1.0
     world.timers.advance(400)
-    assert max(len(world.sent(shard)) for shard in SHARDS) == 1
+    # What it has sent is not known, so nothing is sent from here.
+    assert not any(world.sent(shard) for shard in SHARDS)
+    for attempt in tuple(only(relay.asked).attempts.values()):
+        attempt.end(Loss.BROKEN)
+    world.timers.advance(1400)
+    assert {len(world.sent(shard)) for shard in SHARDS} == {1}
+
+
+def test_a_relay_that_told_all_it_tried_leaves_the_rest_to_this_vm():
+    """Load pattern: relays so busy that their hedges are still on the way."""
+    world = World(dict.fromkeys(SHARDS, 3))
+    relay = RelayStub(SHARDS)
+    world.tools = replace(world.tools, relays=relay)
+    start(world, attempts=2)
+    query = only(relay.asked)
+    for shard, attempt in query.attempts.items():
+        attempt.sent_ms = 1.0
+        query.learn_tried(shard, ['{0}-0'.format(shard)], True)
+    world.timers.advance(400)
+    for name in SHARDS:
+        servers = {each.server for each in world.sent(name)}
+        assert len({*servers, '{0}-0'.format(name)}) <= 2
+    assert sum(len(world.sent(shard)) for shard in SHARDS) >= 9
 
 
 def test_servers_that_a_relay_tried_are_not_asked_anew():
@@ -429,7 +451,7 @@
     world.tools = replace(world.tools, relays=relay)
     start(world, attempts=3)
     query = only(relay.asked)
-    query.learn_tried('s0', ['s0-0', 's0-1'])
+    query.learn_tried('s0', ['s0-0', 's0-1'], False)
     query.attempts['s0'].sent_ms = 1.0
     query.attempts['s0'].end(Loss.RELAY_EMPTY)
     assert [each.server for each in world.sent('s0')] == ['s0-2']
--- a/tests/test_relay_run.py
+++ b/tests/test_relay_run.py
@@ -115,6 +115,28 @@
     assert len(helper.world.sent('s2')) == 1
 
 
+def test_nothing_is_sent_once_it_was_told_what_was_tried():
+    """The VM that has the query counts the attempts from then on."""
+    helper = Helper()
+    helper.run.start()
+    helper.answer('s0', 's1')
+    helper.world.pools['s2-0'].connects = False
+    helper.world.timers.advance(ANSWER_MS)
+    assert helper.reports[-1].is_closed
+    told = set(helper.reports[-1].tried['s2'])
+    for attempt in helper.world.out('s2'):
+        attempt.deadline_ms = 1500.0
+        attempt.end(failed())
+    assert {each.server for each in helper.world.sent('s2')} <= told
+
+
+def test_what_is_told_when_it_hedges_is_not_all():
+    helper = Helper()
+    helper.run.start()
+    helper.world.timers.advance(ANSWER_MS / 2)
+    assert not helper.reports[-1].is_closed
+
+
 def test_extra_attempts_come_from_this_vms_budget():
     helper = Helper(budget=0.0)
     helper.run.start()
