A busy relay loses one query, not all that are out there

A relay that did not take a query within 12 ms was held for dead and its connection closed: other queries that it had under way were lost with it, counted as sent to one server, while it had hedged them.

Ruled out: relays that go on after the target (closed since; the tests of it hold) and attempts of the first VM alone.

Change: only the query that was not taken is lost; the connection is closed if nothing comes on it for 200 ms.

--- a/src/dandelionstage/gateway/shards.py
+++ b/src/dandelionstage/gateway/shards.py
@@ -265,10 +265,18 @@
             self.ask_first(shard)
             return
         if not shard.is_told and not shard.tried:
-            shard.hidden = 1
+            shard.hidden = self._hidden_by(attempt)
         if self.is_late or not self._is_in_vain(attempt):
             self._retry(shard, attempt, ending)
 
+    def _hidden_by(self, attempt: Attempt) -> int:
+        """Tell to how many servers another VM may have sent unsaid."""
+        waited_ms = self._tools.now_ms() - attempt.started_ms
+        if waited_ms < self._pace.hedge_wait_ms:
+            return 1
+        # It may have hedged, too.
+        return self._route.attempts
+
     def _retry(self, shard: Shard, attempt: Attempt, ending: Ending) -> None:
         """Ask another server of the shard after a failure."""
         self._sender.log_failure(shard.service, attempt, ending)
--- a/src/dandelionstage/relaying/relay_vm.py
+++ b/src/dandelionstage/relaying/relay_vm.py
@@ -32,6 +32,9 @@
 #: A VM that is busy says what it has tried so long after the target; one that
 #: says nothing then has failed.
 _WORD_MS: Final = 40.0
+#: A connection on which nothing has come for this long after a question that
+#: was not answered is closed: longer than a small core is busy with queries.
+_SILENT_MS: Final = 200.0
 _OK: Final = 200
 
 
@@ -187,15 +190,25 @@
         )
 
     def _miss(self, asked: _Asked, asked_ms: float) -> None:
-        """Wait no longer for word on a query."""
+        """Wait no longer for word on a query.
+
+        The VM may only be busy; what else is out there is lost with it when
+        its silence lasts.
+        """
         if self._heard_ms < asked_ms:
-            self._give_up('silent')
-            return
-        # It runs, but is too busy for this query.
-        self._avoid('late')
+            self._avoid('silent')
+            self._tools.call_later(
+                _SILENT_MS, lambda: self._end_if_silent(asked_ms)
+            )
+        else:
+            self._avoid('late')
         self.drop(asked.query)
         asked.end(Loss.BROKEN)
 
+    def _end_if_silent(self, since_ms: float) -> None:
+        if self._heard_ms < since_ms and self._link is not None:
+            self._give_up('silent')
+
     def _note_taken(self, taken: Taken) -> None:
         asked = self._asked.get(taken.number)
         if asked is None:
