One setting of keep-alive probes for servers and other VMs

Cause: the last read of the change found the probes of connections to backend servers written again for connections between VMs, figure by figure, and a doc text of a timer that now waits for two kinds of word.

Ruled out: one framing for relays and the spread's pulls (a protocol class on a buffer, and streams that are read by await; what they share is four bytes of length); the store's probes, which are faster for a reason.

Change: gateway.keep_alive.NEAR, used by both; the doc text. No behaviour changes.

--- a/src/dandelionstage/gateway/keep_alive.py
+++ b/src/dandelionstage/gateway/keep_alive.py
@@ -3,9 +3,9 @@
 import asyncio
 import socket
 from dataclasses import dataclass
-from typing import final
+from typing import Final, final
 
-__all__ = ('KeepAlive',)
+__all__ = ('NEAR', 'KeepAlive')
 
 
 @final
@@ -34,3 +34,8 @@
             (socket.TCP_KEEPCNT, self.probes),
         ):
             sock.setsockopt(socket.IPPROTO_TCP, option, setting)
+
+
+#: For peers in this region: one that is gone is found in nine seconds, while
+#: nothing is sent to it.
+NEAR: Final = KeepAlive(idle_s=5, every_s=2, probes=2)
--- a/src/dandelionstage/gateway/server_link.py
+++ b/src/dandelionstage/gateway/server_link.py
@@ -7,15 +7,13 @@
 
 from .attempt import Attempt, Loss, Reply
 from .clock import now_ms
-from .keep_alive import KeepAlive
+from .keep_alive import NEAR
 from .reply_reader import HeaderNames, ReplyReader, Stream
 
 __all__ = ('LinkState', 'ServerLink')
 
 #: A kept connection is not used when the server may be about to close it.
 _IDLE_MARGIN_MS: Final = 600.0
-#: Probes of the kernel find a peer that is gone while nothing is sent.
-_KEEP_ALIVE: Final = KeepAlive(idle_s=5, every_s=2, probes=2)
 
 
 @unique
@@ -57,7 +55,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Become ready for the first attempt."""
         self._transport = cast(asyncio.Transport, transport)
-        _KEEP_ALIVE.watch(transport)
+        NEAR.watch(transport)
         if self.state is LinkState.CLOSED:
             transport.close()
             return
--- a/src/dandelionstage/relaying/link.py
+++ b/src/dandelionstage/relaying/link.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from ..gateway.keep_alive import KeepAlive
+from ..gateway.keep_alive import NEAR
 from .messages import Message, decode, encode
 
 __all__ = ('RelayLink',)
@@ -16,8 +16,6 @@
 _MOST_BYTES: Final = 4_194_304
 #: Bytes unsent to a VM that does not read, after which it is given up.
 _MOST_UNSENT_BYTES: Final = 1_048_576
-#: Probes of the kernel find a VM that is gone while nothing is sent.
-_KEEP_ALIVE: Final = KeepAlive(idle_s=5, every_s=2, probes=2)
 
 
 @final
@@ -41,7 +39,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Become ready to send."""
         self._transport = cast(asyncio.Transport, transport)
-        _KEEP_ALIVE.watch(transport)
+        NEAR.watch(transport)
 
     def data_received(self, received: bytes) -> None:
         """Take in bytes and hand on the messages that are whole."""
--- a/src/dandelionstage/relaying/relay_vm.py
+++ b/src/dandelionstage/relaying/relay_vm.py
@@ -69,7 +69,7 @@
         self.timer: Timer | None = None
 
     def stop_timer(self) -> None:
-        """Wait no longer for word that it was taken."""
+        """Wait no longer for the word that is due."""
         if self.timer is not None:
             self.timer.cancel()
             self.timer = None
