Show limits that servers name and the requests sent despite them

Replies are now read for the limit; `server_limit`, `server_limit_ended` and `limited_attempt` say what a VM knows and does. No decision uses it yet.

--- a/src/dandelionstage/gateway/attempt.py
+++ b/src/dandelionstage/gateway/attempt.py
@@ -44,6 +44,8 @@
     :ivar ran: false if the server states that it did not run the request.
     :ivar is_encoded: whether the body has a content encoding, so that its
         bytes are not the original ones of the server.
+    :ivar limit_per_s: requests a second that the server takes from all VMs
+        together, ``None`` if it names no limit.
     """
 
     status: int
@@ -52,6 +54,7 @@
     stamp: str
     ran: bool
     is_encoded: bool = False
+    limit_per_s: float | None = None
 
 
 #: How an attempt ended: with a reply, or without one for a reason.
@@ -65,6 +68,7 @@
     It ends with an outcome or by being abandoned.  All times are read from the
     monotonic clock.
 
+    :ivar is_extra: whether it is not the first one of its request or shard.
     :ivar deadline_ms: time at which the server must stop working on it.
     :ivar started_ms: time at which it was submitted.
     :ivar sent_ms: time at which it was sent, ``None`` before that.
@@ -75,6 +79,7 @@
         'build_request',
         'deadline_ms',
         'ended',
+        'is_extra',
         'on_end',
         'request_id',
         'sent_ms',
@@ -99,6 +104,7 @@
         self.request_id = request_id
         self.build_request = build_request
         self.on_end = on_end
+        self.is_extra = False
         self.deadline_ms: float = 0
         self.started_ms: float = 0
         self.sent_ms: float | None = None
--- a/src/dandelionstage/gateway/reply_reader.py
+++ b/src/dandelionstage/gateway/reply_reader.py
@@ -1,5 +1,6 @@
 """Incremental parser of HTTP replies that accepts complete replies only."""
 
+import re
 from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum, unique
@@ -19,6 +20,7 @@
 
 _BODILESS_STATUSES: Final = frozenset((204, 304))
 _FIRST_FINAL_STATUS: Final = 200
+_DECIMAL: Final = re.compile(rb'\d{1,9}(\.\d{0,9})?')
 _TIMEOUT_PARAMETER: Final = b'timeout='
 _MS_PER_S: Final = 1000
 #: Limits on the heads of one reply, its interim ones included.
@@ -44,6 +46,7 @@
     :ivar parts: signatures of the shard replies that an answer is merged
         from.
     :ivar missing: number of shards that the answer lacks.
+    :ivar limit: requests a second that a server takes from all VMs together.
     """
 
     request_id: bytes
@@ -53,6 +56,7 @@
     not_run: bytes
     parts: bytes
     missing: bytes
+    limit: bytes
 
 
 @unique
@@ -223,6 +227,7 @@
                 stamp=headers.get(header_names.stamp, b'').decode('latin-1'),
                 ran=header_names.not_run not in headers,
                 is_encoded=b'content-encoding' in headers,
+                limit_per_s=_read_rate(headers.get(header_names.limit)),
             ),
         )
 
@@ -257,3 +262,10 @@
         digits = parameters.split(b',', 1)[0].strip()
         if digits.isdigit():
             self.idle_timeout_ms = int(digits) * _MS_PER_S
+
+
+def _read_rate(header: bytes | None) -> float | None:
+    """Read a decimal rate; ``None`` if there is none or it is not a rate."""
+    if header is None or not _DECIMAL.fullmatch(header.strip()):
+        return None
+    return float(header)
--- a/src/dandelionstage/gateway/run_context.py
+++ b/src/dandelionstage/gateway/run_context.py
@@ -12,6 +12,7 @@
 from ..placing.query_admission import QueryAdmission
 from ..placing.queue_delay import BaseTimes
 from ..placing.replicas import ConnectionPool, Replica, Replicas
+from ..placing.server_limits import ServerLimits
 from ..retries.answer_time_window import AnswerTimeWindow
 from .attempt import Attempt
 from .delivery_times import DeliveryTimes
@@ -91,6 +92,7 @@
     :ivar now_ms: returns the monotonic time in milliseconds.
     :ivar call_later: schedules a call after a delay in milliseconds.
     :ivar random: random numbers for choices and delays.
+    :ivar limits: limits on requests that servers have named.
     :ivar relays: VMs that query shards of large queries for this VM.
     """
 
@@ -107,6 +109,7 @@
     relays: Relays = field(default_factory=NoRelays)
     base_times: BaseTimes = field(default_factory=BaseTimes)
     admission: QueryAdmission = field(default_factory=QueryAdmission)
+    limits: ServerLimits = field(default_factory=ServerLimits)
 
     def replica_of(self, server: ServerId) -> Replica[Pool] | None:
         """Return the replica of a server, ``None`` if it is out of use."""
--- a/src/dandelionstage/gateway/run_helpers.py
+++ b/src/dandelionstage/gateway/run_helpers.py
@@ -89,12 +89,15 @@
         replica: Replica[Pool],
         on_end: Callable[[Attempt, Outcome], None],
         deadline_ms: float,
+        *,
+        is_extra: bool,
     ) -> Attempt:
         """Submit an attempt to the connection pool of a replica.
 
         :param on_end: called with the attempt and its outcome.
         :param deadline_ms: time at which the server must stop working on
             the request.
+        :param is_extra: whether it is not the first attempt.
         """
         server = replica.record.server
         attempt = Attempt(
@@ -104,6 +107,10 @@
             on_end,
         )
         attempt.deadline_ms = deadline_ms
+        attempt.is_extra = is_extra
+        limit_per_s = self._context.limits.per_s(replica.record)
+        if limit_per_s:
+            self._log_limited(attempt, replica, limit_per_s)
         replica.throttle.record_sent(self._context.now_ms())
         replica.pool.submit(attempt)
         return attempt
@@ -162,6 +169,19 @@
             waited_ms=round(self._context.now_ms() - attempt.started_ms, 1),
         )
 
+    def _log_limited(
+        self, attempt: Attempt, replica: Replica[Pool], limit_per_s: float
+    ) -> None:
+        """Log an attempt at a server that limits its requests."""
+        self._context.log.event(
+            'limited_attempt',
+            request=self._request.log_id,
+            service=replica.record.service,
+            server=attempt.server,
+            limit_per_s=limit_per_s,
+            is_extra=attempt.is_extra,
+        )
+
     def _build_request(self, server: ServerId, left_ms: float) -> bytes:
         header_names = self._context.header_names
         return b'%b%b: %b\r\n%b: %d\r\n\r\n%b' % (
--- a/src/dandelionstage/gateway/server_connection.py
+++ b/src/dandelionstage/gateway/server_connection.py
@@ -42,6 +42,7 @@
         on_idle_or_closed: 'Callable[[ServerConnection], None]',
         budget: ReadBudget | None = None,
         on_limit_exceeded: OnLimitExceeded | None = None,
+        on_reply: 'Callable[[Attempt, Reply], None] | None' = None,
     ) -> None:
         """Create a connection that is not open yet.
 
@@ -49,11 +50,14 @@
             attempt or is closed.
         :param budget: bounds the replies of all connections together.
         :param on_limit_exceeded: called if the server exceeds a limit.
+        :param on_reply: called with each reply to an attempt, also if the
+            attempt was abandoned, before the attempt ends.
         """
         self.state = ConnectionState.OPENING
         self.attempt: Attempt | None = None
         self._on_idle_or_closed = on_idle_or_closed
         self._on_limit_exceeded = on_limit_exceeded
+        self._on_reply = on_reply
         self._reader = ReplyReader(
             header_names, self._receive, budget, self._fail_as_bad_reply
         )
@@ -137,6 +141,8 @@
             self._got_foreign_reply = True
             return
         self._got_reply = True
+        if self._on_reply is not None:
+            self._on_reply(attempt, reply)
         attempt.end(reply)
 
     def _reuse_or_close(self) -> None:
--- a/src/dandelionstage/gateway/server_pool.py
+++ b/src/dandelionstage/gateway/server_pool.py
@@ -6,7 +6,7 @@
 from typing import Final, final
 
 from ..catalog.servers import ServerRecord
-from .attempt import Attempt, NoReply
+from .attempt import Attempt, NoReply, Reply
 from .clock import now_ms
 from .read_limits import OnLimitExceeded, ReadBudget
 from .reply_reader import HeaderNames
@@ -32,13 +32,14 @@
     :ivar record: catalog record of the server.
     """
 
-    def __init__(
+    def __init__(  # noqa: WPS211 -- one for each collaborator
         self,
         record: ServerRecord,
         header_names: HeaderNames,
         connection_limit: Callable[[], int],
         budget: ReadBudget | None = None,
         on_limit_exceeded: OnLimitExceeded | None = None,
+        on_reply: Callable[[Attempt, Reply], None] | None = None,
     ) -> None:
         """Create a pool without connections.
 
@@ -46,12 +47,15 @@
             VM may currently hold to the server.
         :param budget: bounds the replies of all connections together.
         :param on_limit_exceeded: called if the server exceeds a limit.
+        :param on_reply: called with each reply to an attempt, also if the
+            attempt was abandoned, before the attempt ends.
         """
         self.record = record
         self._header_names = header_names
         self._connection_limit = connection_limit
         self._budget = budget
         self._on_limit_exceeded = on_limit_exceeded
+        self._on_reply = on_reply
         self._connections: set[ServerConnection] = set()
         self._idle: list[ServerConnection] = []
         self._waiting: deque[Attempt] = deque()
@@ -140,6 +144,7 @@
             self._on_idle_or_closed,
             self._budget,
             self._on_limit_exceeded,
+            self._on_reply,
         )
         self._connections.add(connection)
         task = asyncio.get_running_loop().create_task(self._connect(connection))
--- a/src/dandelionstage/gateway/shard_attempts.py
+++ b/src/dandelionstage/gateway/shard_attempts.py
@@ -147,12 +147,14 @@
         replica = self._choose(shard)
         if replica is None:
             return False
+        is_extra = bool(shard.tried)
         if replica.record.server not in shard.tried:
             shard.tried.append(replica.record.server)
         attempt = self._sender.send(
             replica,
             lambda ended, outcome: self._end(shard, ended, outcome),
             self._deadline_ms(replica),
+            is_extra=is_extra,
         )
         self._add_pending(shard, attempt)
         return True
--- a/src/dandelionstage/gateway/single_run.py
+++ b/src/dandelionstage/gateway/single_run.py
@@ -92,9 +92,10 @@
         replica = self._choose()
         if replica is None:
             return False
+        is_extra = bool(self._tried)
         self._tried.append(replica.record.server)
         attempt = self._sender.send(
-            replica, self._end, self._schedule.deadline_ms
+            replica, self._end, self._schedule.deadline_ms, is_extra=is_extra
         )
         if not attempt.ended:
             self._pending.append(attempt)
--- a/src/dandelionstage/platform/names.py
+++ b/src/dandelionstage/platform/names.py
@@ -21,6 +21,7 @@
     not_run=b'x-not-executed',
     parts=b'x-part-stamps',
     missing=b'x-missing-parts',
+    limit=b'server-limit',
 )
 READY_TARGET: Final = b'/api/ready'
 #: Paths of the store: items by key, and changes after a revision.
--- a/src/dandelionstage/platform/node.py
+++ b/src/dandelionstage/platform/node.py
@@ -10,9 +10,11 @@
 from ..catalog.routes import CallerLimits, RouteTable
 from ..catalog.servers import ServerId, ServerRecord
 from ..gateway.caller_listener import CallerListener
+from ..gateway.attempt import Attempt, Reply
 from ..gateway.clock import now_ms
 from ..gateway.delivery_times import DeliveryTimes
 from ..gateway.gateway import Gateway
+from ..gateway.outcomes import is_success
 from ..gateway.read_limits import LimitExceeded, ReadBudget
 from ..gateway.request_schedule import LagEstimate, NetworkMargins
 from ..gateway.run_context import Pool, RouteResponseTimes, RunContext
@@ -26,6 +28,7 @@
 from ..placing.connection_limit import max_connections_per_vm
 from ..placing.fleet_retry_budget import FleetRetryBudgets
 from ..placing.replicas import Replicas
+from ..placing.server_limits import ServerLimits, ServerStart
 from ..placing.shard_choice import is_unservable
 from ..placing.slow_server_reports import (
     SlowServer,
@@ -73,6 +76,8 @@
         self._replicas: Replicas[Pool] = Replicas(
             settings.zone, self._make_pool, random
         )
+        self._limits = ServerLimits()
+        self._limits.on_change = self._change_limit
         # One for each side, so that servers do not displace callers.
         self._reply_budget = ReadBudget(settings.unfinished_bytes)
         self._request_budget = ReadBudget(settings.unfinished_bytes)
@@ -101,6 +106,7 @@
             call_later=_call_later,
             random=random,
             relays=self._relays,
+            limits=self._limits,
         )
         self._callers = CallerListener(
             host_and_port(settings.listen_addrs.front),
@@ -228,6 +234,29 @@
             lambda: self._connection_limit(record),
             self._reply_budget,
             lambda exceeded: self._log_limit(record, exceeded),
+            partial(self._observe_reply, record),
+        )
+
+    def _observe_reply(
+        self, record: ServerRecord, attempt: Attempt, reply: Reply
+    ) -> None:
+        """Record what a reply says of the server's limit on requests."""
+        if reply.limit_per_s is not None:
+            self._limits.observe_limit(record, reply.limit_per_s, now_ms())
+        elif attempt.sent_ms is not None and is_success(reply):
+            self._limits.observe_no_limit(record, attempt.sent_ms, now_ms())
+
+    def _change_limit(
+        self,
+        start: ServerStart,
+        per_s: float,
+        is_own: bool,  # noqa: FBT001 -- a callback
+    ) -> None:
+        self._log.event(
+            'server_limit' if per_s else 'server_limit_ended',
+            server=start[0],
+            per_s=per_s,
+            evidence='reply' if is_own else 'told',
         )
 
     def _log_limit(self, record: ServerRecord, exceeded: LimitExceeded) -> None:
--- a/tests/gateway_harness.py
+++ b/tests/gateway_harness.py
@@ -37,6 +37,7 @@
     not_run=b'x-not-run',
     parts=b'x-parts',
     missing=b'x-missing',
+    limit=b'x-limit',
 )
 
 
--- a/tools/overload/fleet.py
+++ b/tools/overload/fleet.py
@@ -36,7 +36,14 @@
 __all__ = ('Replay',)
 
 _NAMES: Final = HeaderNames(
-    b'id', b'left', b'stamp', b'target', b'not-run', b'parts', b'missing'
+    b'id',
+    b'left',
+    b'stamp',
+    b'target',
+    b'not-run',
+    b'parts',
+    b'missing',
+    b'limit',
 )
 _MS_PER_S: Final = 1000.0
 _OK: Final = 200
--- a/tools/standins/platform/server.py
+++ b/tools/standins/platform/server.py
@@ -56,6 +56,7 @@
 
     :ivar mode: how requests are treated; may be changed at any time.
     :ivar work_ms: time that one request takes.
+    :ivar limit_per_s: rate of requests that its answers name, if any.
     :ivar runs: every request that it began.
     :ivar arrived: when requests came, and their ids; refused ones too.
     :ivar at_work: requests that it works on now.
@@ -65,6 +66,7 @@
         """Start well."""
         self.mode = ServerMode.WELL
         self.work_ms: float = 1
+        self.limit_per_s: float | None = None
         self.server = server
         self.runs: list[Run] = []
         self.arrived: list[tuple[float, str]] = []
@@ -135,7 +137,13 @@
             )
         name = self._stamp().encode()
         body = name.ljust(_RECORD_BYTES, b'.')[:_RECORD_BYTES] * 2
-        whole = _reply(HTTPStatus.OK, request, body, stamp=self._stamp())
+        whole = _reply(
+            HTTPStatus.OK,
+            request,
+            body,
+            stamp=self._stamp(),
+            limit_per_s=self.limit_per_s,
+        )
         if self.mode is ServerMode.STRAY:
             return _reply(HTTPStatus.OK, 'another', _STRAY_BODY) + whole
         return whole
@@ -156,6 +164,7 @@
     *,
     stamp: str = '',
     not_run: bool = False,
+    limit_per_s: float | None = None,
 ) -> bytes:
     lines = ['HTTP/1.1 {0} {1}'.format(status.value, status.phrase)]
     lines.append('X-Request-Id: {0}'.format(request))
@@ -163,6 +172,8 @@
     lines.append('Keep-Alive: timeout=10')
     if stamp:
         lines.append('X-Response-Stamp: {0}'.format(stamp))
+    if limit_per_s is not None:
+        lines.append('Server-Limit: {0}'.format(limit_per_s))
     if not_run:
         lines.append('X-Not-Executed: 1')
     head = '\r\n'.join((*lines, '', ''))
