Servers get no more than the limit that they name (LIMIT): permits

Cause: no VM used the limit; each chose the server by its load and times, which were as good as before. It is a limit on a sum that no process sees: of 20 to 195 VMs each sends a few requests a second or fewer.

Change: a request to such a server needs a permit, taken where requests enter the pool of its connections, so first attempts, hedges, retries, repeats and relayed parts are all counted. Three VMs of the server's own data centre issue the permits, each a third of the rate, without exchanging anything: who reaches the server reaches them, and a data centre that is cut off goes on. They are ranked among all VMs that may exist, not those alive, so two views cannot make two sets. A VM that starts has no stored permits and grants none for 1.5 s. Permits end by the asker's clock, counted from its request; a repeated reply counts once. Without a permit the attempt ends unsent (`limited`), another server is used, or the request is refused at once. VMs pass on limits and their ends in hellos; an older report does not bring a limit back.

Ruled out: equal shares (0.05 requests a second a VM at 195 VMs; nothing could be sent), shares by reported demand (overshoot while a burst is not known yet), readers of the store as issuers (one VM for all limits, and out of reach of a data centre that is cut off).

--- a/src/dandelionstage/gateway/attempt.py
+++ b/src/dandelionstage/gateway/attempt.py
@@ -28,6 +28,8 @@
     WITHDRAWN = 'withdrawn'
     #: A relay VM that was to query the shard received no reply from it.
     RELAY_EMPTY = 'relay_empty'
+    #: The server limits its requests and no permit was granted.
+    LIMITED = 'limited'
     #: Too little time was left to send the request.
     EXPIRED = 'expired'
 
--- a/src/dandelionstage/gateway/gateway.py
+++ b/src/dandelionstage/gateway/gateway.py
@@ -8,7 +8,11 @@
 
 from ..catalog.catalog import Catalog
 from ..catalog.routes import Gather, Route
-from ..placing.shard_choice import is_unservable, unreachable_shards
+from ..placing.shard_choice import (
+    is_limited,
+    is_unservable,
+    unreachable_shards,
+)
 from .gather_run import GatherRun
 from .request_schedule import (
     NetworkMargins,
@@ -40,6 +44,7 @@
     EXPIRED = 'too little time left'
     UNREACHABLE = 'too few shards can be reached'
     OVERLOADED = 'more queries than the servers can answer in time'
+    LIMITED = 'servers of too many shards limit their requests'
     CUT_OFF = 'data centre is cut off from the servers of too many shards'
 
 
@@ -50,6 +55,7 @@
         RefusalReason.STARTING: 300.0,
         RefusalReason.UNREACHABLE: _UNREACHABLE_PROBE_INTERVAL_MS,
         RefusalReason.OVERLOADED: 250.0,
+        RefusalReason.LIMITED: 250.0,
         # Soon, as new connections then go to another data centre.
         RefusalReason.CUT_OFF: 200.0,
     },
@@ -174,12 +180,25 @@
             return RefusalReason.EXPIRED
         if route.gather is None:
             return None
-        if not self._must_refuse_query(route.gather):
-            is_refused = self._must_shed(request, route)
-            return RefusalReason.OVERLOADED if is_refused else None
-        if self._context.replicas.is_only_local:
-            return RefusalReason.CUT_OFF
-        return RefusalReason.UNREACHABLE
+        if self._must_refuse_query(route.gather):
+            is_only_local = self._context.replicas.is_only_local
+            return (
+                RefusalReason.CUT_OFF
+                if is_only_local
+                else RefusalReason.UNREACHABLE
+            )
+        return self._overload_reason(request, route, route.gather)
+
+    def _overload_reason(
+        self, request: CallerRequest, route: Route, gather: Gather
+    ) -> RefusalReason | None:
+        """Return why a query must be refused to protect servers, if it must."""
+        now_ms = self._context.now_ms()
+        if is_limited(gather, self._context.replicas, now_ms):
+            return RefusalReason.LIMITED
+        if self._must_shed(request, route):
+            return RefusalReason.OVERLOADED
+        return None
 
     def _must_shed(self, request: CallerRequest, route: Route) -> bool:
         """Whether to refuse a query so that others can be answered in time."""
--- a/src/dandelionstage/gateway/outcomes.py
+++ b/src/dandelionstage/gateway/outcomes.py
@@ -18,7 +18,9 @@
 #: A failure this close to the deadline is attributed to the deadline.
 _DEADLINE_MARGIN_MS: Final = 8.0
 #: Outcomes that say nothing about the state of the server.
-_NOT_SERVER_FAULTS: Final = frozenset((NoReply.WITHDRAWN, NoReply.EXPIRED))
+_NOT_SERVER_FAULTS: Final = frozenset(
+    (NoReply.WITHDRAWN, NoReply.EXPIRED, NoReply.LIMITED)
+)
 
 
 def is_success(outcome: Outcome) -> bool:
@@ -63,6 +65,11 @@
     def record_outcome(self, attempt: Attempt, outcome: Outcome) -> None:
         """Update the estimates of a server from the outcome of an attempt."""
         replica = self._context.replica_of(attempt.server)
+        if replica is not None and outcome is NoReply.LIMITED:
+            # Queries over many such servers wait for each other's parts.
+            now_ms = self._context.now_ms()
+            replica.throttle.withdraw(now_ms)
+            replica.queue.raise_to(self._route.target_ms, now_ms)
         if replica is None or outcome in _NOT_SERVER_FAULTS:
             return
         if replica.is_remote and isinstance(outcome, Reply):
@@ -78,7 +85,10 @@
     def record_slow(self, attempt: Attempt) -> None:
         """Update the estimates of a server that has not replied yet."""
         replica = self._context.replica_of(attempt.server)
-        if replica is not None:
+        if replica is None:
+            return
+        is_unpermitted = attempt.sent_ms is None and replica.pool.limit.per_s
+        if not is_unpermitted:
             now_ms = self._context.now_ms()
             ratio = self._ratio(now_ms - attempt.started_ms)
             replica.slowness.observe_unfinished(ratio, now_ms)
--- a/src/dandelionstage/gateway/server_pool.py
+++ b/src/dandelionstage/gateway/server_pool.py
@@ -3,16 +3,18 @@
 import asyncio
 from collections import deque
 from collections.abc import Callable
+from dataclasses import dataclass
 from typing import Final, final
 
 from ..catalog.servers import ServerRecord
+from ..placing.send_limit import SendLimit
 from .attempt import Attempt, NoReply, Reply
 from .clock import now_ms
 from .read_limits import OnLimitExceeded, ReadBudget
 from .reply_reader import HeaderNames
 from .server_connection import ConnectionState, ServerConnection
 
-__all__ = ('ServerPool',)
+__all__ = ('PoolCallbacks', 'ServerPool')
 
 #: A connection within a region opens in a few milliseconds; a server that
 #: takes this long is considered unreachable.
@@ -25,37 +27,51 @@
 _MIN_TIME_LEFT_MS: Final = 1.0
 
 
+@final
+@dataclass(frozen=True, slots=True)
+class PoolCallbacks:
+    """What a pool reports to the VM that it belongs to.
+
+    :ivar on_limit_exceeded: called if the server exceeds a limit.
+    :ivar on_reply: called with each reply to an attempt, also if the attempt
+        was abandoned, before the attempt ends.
+    :ivar request_permits: called if an attempt waits for a permit.
+    """
+
+    on_limit_exceeded: OnLimitExceeded | None = None
+    on_reply: Callable[[Attempt, Reply], None] | None = None
+    request_permits: 'Callable[[ServerPool], None] | None' = None
+
+
 @final
 class ServerPool:  # noqa: WPS214 -- one owner of a server's connections
     """Keeps connections to a server open, up to the limit of this VM.
 
     :ivar record: catalog record of the server.
+    :ivar limit: limit of the server on requests, and permits to send them.
     """
 
-    def __init__(  # noqa: WPS211 -- one for each collaborator
+    def __init__(
         self,
         record: ServerRecord,
         header_names: HeaderNames,
         connection_limit: Callable[[], int],
         budget: ReadBudget | None = None,
-        on_limit_exceeded: OnLimitExceeded | None = None,
-        on_reply: Callable[[Attempt, Reply], None] | None = None,
+        callbacks: PoolCallbacks | None = None,
     ) -> None:
         """Create a pool without connections.
 
         :param connection_limit: returns the number of connections that this
             VM may currently hold to the server.
         :param budget: bounds the replies of all connections together.
-        :param on_limit_exceeded: called if the server exceeds a limit.
-        :param on_reply: called with each reply to an attempt, also if the
-            attempt was abandoned, before the attempt ends.
         """
         self.record = record
+        self.limit = SendLimit()
         self._header_names = header_names
         self._connection_limit = connection_limit
         self._budget = budget
-        self._on_limit_exceeded = on_limit_exceeded
-        self._on_reply = on_reply
+        self._callbacks = callbacks or PoolCallbacks()
+        self._unpermitted: deque[Attempt] = deque()
         self._connections: set[ServerConnection] = set()
         self._idle: list[ServerConnection] = []
         self._waiting: deque[Attempt] = deque()
@@ -66,7 +82,7 @@
     def load(self) -> int:
         """Number of waiting attempts and of connections that are not idle."""
         busy = len(self._connections) - len(self._idle)
-        return busy + len(self._waiting)
+        return busy + len(self._waiting) + len(self._unpermitted)
 
     @property
     def has_idle_connection(self) -> bool:
@@ -78,23 +94,46 @@
         """Number of connections that are open or being opened."""
         return len(self._connections)
 
+    @property
+    def unpermitted_count(self) -> int:
+        """Number of attempts that wait for a permit."""
+        return len(self._unpermitted)
+
     def submit(self, attempt: Attempt) -> None:
-        """Send an attempt as soon as a connection is idle."""
+        """Send an attempt as soon as it is permitted and a connection idle."""
         attempt.started_ms = now_ms()
-        connection = self._take_idle(attempt.started_ms)
-        if connection is not None:
-            connection.send(attempt)
-            return
-        self._waiting.append(attempt)
-        if self._may_open():
-            self._open()
+        if self.limit.per_s:
+            self.limit.record_demand(attempt.started_ms)
+            if not self.limit.take(attempt.started_ms):
+                self._wait_for_permit(attempt)
+                return
+        self._send_or_wait(attempt)
+
+    def send_permitted(self) -> None:
+        """Send the waiting attempts for which there are permits."""
+        while self._unpermitted:
+            at_ms = now_ms()
+            if self.limit.per_s and not self.limit.take(at_ms):
+                return
+            attempt = self._unpermitted.popleft()
+            # The server's time begins here.
+            attempt.started_ms = at_ms
+            self._send_or_wait(attempt)
+
+    def refuse_unpermitted(self) -> None:
+        """End the attempts that wait for a permit."""
+        waiting = tuple(self._unpermitted)
+        self._unpermitted.clear()
+        for attempt in waiting:
+            attempt.end(NoReply.LIMITED)
 
     def abandon(self, attempt: Attempt) -> None:
         """Drop an attempt; one that was sent gets a short time to finish."""
         attempt.ended = True
         if attempt.sent_ms is None:
-            if attempt in self._waiting:
-                self._waiting.remove(attempt)
+            for queue in (self._waiting, self._unpermitted):
+                if attempt in queue:
+                    queue.remove(attempt)
             return
         connection = self._find_connection(attempt)
         if connection is not None:
@@ -108,11 +147,26 @@
     def retire(self) -> None:
         """Stop sending; attempts that were sent may finish."""
         self._is_closed = True
-        while self._waiting:
-            self._waiting.popleft().end(NoReply.WITHDRAWN)
+        for queue in (self._waiting, self._unpermitted):
+            while queue:
+                queue.popleft().end(NoReply.WITHDRAWN)
         for connection in tuple(self._idle):
             connection.close()
 
+    def _wait_for_permit(self, attempt: Attempt) -> None:
+        self._unpermitted.append(attempt)
+        if self._callbacks.request_permits is not None:
+            self._callbacks.request_permits(self)
+
+    def _send_or_wait(self, attempt: Attempt) -> None:
+        connection = self._take_idle(attempt.started_ms)
+        if connection is not None:
+            connection.send(attempt)
+            return
+        self._waiting.append(attempt)
+        if self._may_open():
+            self._open()
+
     def _may_open(self) -> bool:
         return len(self._opening) < len(self._waiting) and (
             len(self._connections) < self._connection_limit()
@@ -143,8 +197,8 @@
             self._header_names,
             self._on_idle_or_closed,
             self._budget,
-            self._on_limit_exceeded,
-            self._on_reply,
+            self._callbacks.on_limit_exceeded,
+            self._callbacks.on_reply,
         )
         self._connections.add(connection)
         task = asyncio.get_running_loop().create_task(self._connect(connection))
--- a/src/dandelionstage/gateway/single_run.py
+++ b/src/dandelionstage/gateway/single_run.py
@@ -65,7 +65,7 @@
         hedge_at_ms = self._request.arrived_ms + self._schedule.hedge_delay_ms
         self._timer.call_at(hedge_at_ms, self._hedge)
         if not self._send_attempt():
-            self._refuse('no server of the service is known')
+            self._refuse('no server of the service is known or takes more')
 
     def cancel(self) -> None:
         """Stop, as the caller has disconnected.
--- a/src/dandelionstage/placing/replicas.py
+++ b/src/dandelionstage/placing/replicas.py
@@ -7,6 +7,7 @@
 from ..catalog.routes import ServiceId
 from ..catalog.servers import ServerId, ServerRecord, ServerState
 from .queue_delay import QueueDelay
+from .send_limit import SendLimit
 from .slowness import Slowness
 from .throttle import Throttle
 
@@ -33,7 +34,12 @@
 
 
 class ConnectionPool(Protocol):
-    """Connections of this VM to one server."""
+    """Connections of this VM to one server.
+
+    :ivar limit: limit of the server on requests, and permits to send them.
+    """
+
+    limit: SendLimit
 
     @property
     def load(self) -> int:
@@ -114,7 +120,10 @@
         self.queue = QueueDelay()
 
     def cost(self, now_ms: float) -> float:
-        """Return the relative cost of one more request; lower is better."""
+        """Return the relative cost of one more request; lower is better.
+
+        :returns: infinity if the server's limit does not permit one.
+        """
         cost = (self.pool.load + 1) * self.slowness.ratio(now_ms)
         if self.is_remote:
             cost *= _REMOTE_FACTOR
@@ -122,6 +131,8 @@
             cost *= _NEW_CONNECTION_FACTOR
         if now_ms < self.cold_until_ms:
             cost *= _COLD_FACTOR
+        if self.pool.limit.is_refused(now_ms):
+            return _INFINITE
         return cost
 
 
@@ -245,6 +256,13 @@
             for replica in self.for_service(service)
         )
 
+    def is_refused(self, service: ServiceId, now_ms: float) -> bool:
+        """Whether no server of a service may be sent to now."""
+        return all(
+            replica.pool.limit.is_refused(now_ms)
+            for replica in self.for_service(service)
+        )
+
     def _with_jitter(self, cost: float) -> float:
         """Return a cost increased by up to 1 %, which only breaks ties."""
         return cost * (1 + self._random.random() * _JITTER)
--- /dev/null
+++ b/src/dandelionstage/placing/send_limit.py
@@ -0,0 +1,101 @@
+"""Permits of one VM to send requests to a server that limits them.
+
+Load pattern: a server names a rate of requests for all VMs together.  Each of
+many VMs sends only a few requests a second, often fewer than one, so fixed
+shares of the rate would be too small to send anything; permits go to the VMs
+that have requests.
+"""
+
+import math
+from collections import deque
+from typing import Final, final
+
+__all__ = ('SendLimit',)
+
+_INFINITE: Final = float('inf')
+#: Time for which permits are requested in advance, by the recent demand.
+_AHEAD_S: Final = 0.4
+#: Time constant of the demand.
+_DEMAND_MS: Final = 1000.0
+#: Maximum number of permits in one request.
+_MAX_WANTED: Final = 100
+
+
+@final
+class SendLimit:  # noqa: WPS214 -- short methods on one record
+    """Limit of one server, and this VM's permits to send to it.
+
+    :ivar per_s: requests a second that the server takes from all VMs
+        together, 0 while it has no limit.
+    """
+
+    __slots__ = (
+        '_demand',
+        '_demand_ms',
+        '_permits',
+        '_refused_until_ms',
+        'per_s',
+    )
+
+    def __init__(self) -> None:
+        """Create the state of a server without a limit."""
+        self.per_s: float = 0
+        self._permits: deque[float] = deque()
+        self._refused_until_ms = -_INFINITE
+        self._demand: float = 0
+        self._demand_ms: float = 0
+
+    def change(self, per_s: float) -> None:
+        """Apply a changed limit; permits lose their meaning if it ends."""
+        self.per_s = per_s
+        self._refused_until_ms = -_INFINITE
+        if not per_s:
+            self._permits.clear()
+
+    def take(self, now_ms: float) -> bool:
+        """Use a permit; return whether there was one."""
+        self._drop_expired(now_ms)
+        if not self._permits:
+            return False
+        self._permits.popleft()
+        return True
+
+    def add(self, count: int, until_ms: float) -> None:
+        """Store permits that may be used until a time."""
+        self._refused_until_ms = -_INFINITE
+        self._permits.extend(until_ms for _ in range(count))
+
+    def refuse(self, until_ms: float) -> None:
+        """Record that no VM grants permits before a time."""
+        self._refused_until_ms = until_ms
+
+    def is_refused(self, now_ms: float) -> bool:
+        """Whether a request could not be sent now.
+
+        A server for which permits may be requested is used like any other:
+        only its replies tell when its limit ends.
+        """
+        return self._refused_until_ms > now_ms and not self._has_permit(now_ms)
+
+    def record_demand(self, now_ms: float) -> None:
+        """Record a request that is to be sent."""
+        kept = math.exp((self._demand_ms - now_ms) / _DEMAND_MS)
+        self._demand = self._demand * kept + 1
+        self._demand_ms = now_ms
+
+    def wanted(self, waiting: int) -> int:
+        """Return how many permits to request.
+
+        :param waiting: number of requests that wait for one.
+        """
+        ahead = int(self._demand * _AHEAD_S)
+        return min(_MAX_WANTED, max(1, waiting + ahead))
+
+    def _has_permit(self, now_ms: float) -> bool:
+        self._drop_expired(now_ms)
+        return bool(self._permits)
+
+    def _drop_expired(self, now_ms: float) -> None:
+        permits = self._permits
+        while permits and permits[0] <= now_ms:
+            permits.popleft()
--- a/src/dandelionstage/placing/shard_choice.py
+++ b/src/dandelionstage/placing/shard_choice.py
@@ -8,6 +8,7 @@
 
 __all__ = (
     'choose_skipped_shards',
+    'is_limited',
     'is_unservable',
     'should_skip',
     'unreachable_shards',
@@ -73,6 +74,12 @@
     return without_server > len(gather.shards) - gather.least_parts
 
 
+def is_limited(gather: Gather, replicas: Replicas[Any], now_ms: float) -> bool:
+    """Whether too many shards have no server that may be sent to now."""
+    refused = sum(replicas.is_refused(shard, now_ms) for shard in gather.shards)
+    return refused > len(gather.shards) - gather.least_parts
+
+
 def unreachable_shards(
     gather: Gather, replicas: Replicas[Any], now_ms: float
 ) -> tuple[ServiceId, ...]:
--- a/src/dandelionstage/placing/throttle.py
+++ b/src/dandelionstage/placing/throttle.py
@@ -53,6 +53,12 @@
             self._first_unanswered_ms = now_ms
         self._unanswered += 1
 
+    def withdraw(self, now_ms: float) -> None:
+        """Take back an attempt that was recorded but never sent."""
+        self._decay(now_ms)
+        self._sent = max(0, self._sent - 1)
+        self._unanswered = max(0, self._unanswered - 1)
+
     def record_answer(self, now_ms: float) -> None:
         """Record an answer that arrived in time."""
         self._decay(now_ms)
--- a/src/dandelionstage/platform/node.py
+++ b/src/dandelionstage/platform/node.py
@@ -1,7 +1,6 @@
 """The gateway process of one VM: its components, startup and shutdown."""
 
 import asyncio
-from collections.abc import Callable
 from contextlib import AsyncExitStack
 from functools import partial
 from random import Random
@@ -11,14 +10,14 @@
 from ..catalog.servers import ServerId, ServerRecord
 from ..gateway.caller_listener import CallerListener
 from ..gateway.attempt import Attempt, Reply
-from ..gateway.clock import now_ms
+from ..gateway.clock import call_later, now_ms
 from ..gateway.delivery_times import DeliveryTimes
 from ..gateway.gateway import Gateway
 from ..gateway.outcomes import is_success
 from ..gateway.read_limits import LimitExceeded, ReadBudget
 from ..gateway.request_schedule import LagEstimate, NetworkMargins
 from ..gateway.run_context import Pool, RouteResponseTimes, RunContext
-from ..gateway.server_pool import ServerPool
+from ..gateway.server_pool import PoolCallbacks, ServerPool
 from ..gateway.shutdown import Shutdown, ShutdownLimits
 from ..gateway.status_listener import StatusListener
 from ..lifecycle.resource_owner import ResourceOwner
@@ -28,7 +27,7 @@
 from ..placing.connection_limit import max_connections_per_vm
 from ..placing.fleet_retry_budget import FleetRetryBudgets
 from ..placing.replicas import Replicas
-from ..placing.server_limits import ServerLimits, ServerStart
+from ..placing.server_limits import ServerStart
 from ..placing.shard_choice import is_unservable
 from ..placing.slow_server_reports import (
     SlowServer,
@@ -51,6 +50,8 @@
 __all__ = ('Node',)
 
 _MS_PER_S: Final = 1000.0
+#: Changed limits are announced together after this time.
+_ANNOUNCEMENT_DELAY_MS: Final = 50.0
 
 
 @final
@@ -76,8 +77,7 @@
         self._replicas: Replicas[Pool] = Replicas(
             settings.zone, self._make_pool, random
         )
-        self._limits = ServerLimits()
-        self._limits.on_change = self._change_limit
+        self._announcement: asyncio.TimerHandle | None = None
         # One for each side, so that servers do not displace callers.
         self._reply_budget = ReadBudget(settings.unfinished_bytes)
         self._request_budget = ReadBudget(settings.unfinished_bytes)
@@ -92,7 +92,7 @@
             self._sources.own_vm,
             self._list_local_vms,
             self._relay_address_of,
-            RelayContext(now_ms, _call_later, log, relay_budget),
+            RelayContext(now_ms, call_later, log, relay_budget),
         )
         tools = RunContext(
             replicas=self._replicas,
@@ -103,10 +103,10 @@
             header_names=HEADERS,
             log=log,
             now_ms=now_ms,
-            call_later=_call_later,
+            call_later=call_later,
             random=random,
             relays=self._relays,
-            limits=self._limits,
+            limits=self._sources.spread.limits,
         )
         self._callers = CallerListener(
             host_and_port(settings.listen_addrs.front),
@@ -200,6 +200,8 @@
         spread.list_slow_servers = lambda: list_slow_servers(
             self._replicas, now_ms()
         )
+        spread.limits.on_change = self._change_limit
+        spread.permits.find_seeker = self._find_pool
         spread.apply_slow_reports = self._apply_slow_reports
         spread.lend = lambda borrower, asked_ms: self._budgets.lend(
             borrower, asked_ms, now_ms()
@@ -233,8 +235,11 @@
             HEADERS,
             lambda: self._connection_limit(record),
             self._reply_budget,
-            lambda exceeded: self._log_limit(record, exceeded),
-            partial(self._observe_reply, record),
+            PoolCallbacks(
+                lambda exceeded: self._log_limit(record, exceeded),
+                partial(self._observe_reply, record),
+                self._sources.spread.permits.request,
+            ),
         )
 
     def _observe_reply(
@@ -242,9 +247,13 @@
     ) -> None:
         """Record what a reply says of the server's limit on requests."""
         if reply.limit_per_s is not None:
-            self._limits.observe_limit(record, reply.limit_per_s, now_ms())
+            self._sources.spread.limits.observe_limit(
+                record, reply.limit_per_s, now_ms()
+            )
         elif attempt.sent_ms is not None and is_success(reply):
-            self._limits.observe_no_limit(record, attempt.sent_ms, now_ms())
+            self._sources.spread.limits.observe_no_limit(
+                record, attempt.sent_ms, now_ms()
+            )
 
     def _change_limit(
         self,
@@ -258,6 +267,28 @@
             per_s=per_s,
             evidence='reply' if is_own else 'told',
         )
+        if is_own:
+            self._announce_limits()
+        pool = self._find_pool(start[0])
+        if pool is not None and pool.record.started_ms == start[1]:
+            pool.limit.change(per_s)
+            pool.send_permitted()
+
+    def _announce_limits(self) -> None:
+        """Tell other VMs soon, once for all limits that change meanwhile."""
+        if self._announcement is None:
+            self._announcement = call_later(
+                _ANNOUNCEMENT_DELAY_MS, self._send_announcement
+            )
+
+    def _send_announcement(self) -> None:
+        self._announcement = None
+        self._sources.spread.announce_changes()
+
+    def _find_pool(self, server: ServerId) -> ServerPool | None:
+        replica = self._replicas.replica(server)
+        pool = replica.pool if replica else None
+        return pool if isinstance(pool, ServerPool) else None
 
     def _log_limit(self, record: ServerRecord, exceeded: LimitExceeded) -> None:
         self._log.event(
@@ -294,6 +325,10 @@
             warm_up_left_ms=record.warm_up_left_ms,
         )
         self._replicas.update(record, now_ms())
+        replica = self._replicas.replica(record.server)
+        per_s = self._sources.spread.limits.per_s(record)
+        if replica is not None and replica.pool.limit.per_s != per_s:
+            replica.pool.limit.change(per_s)
 
     def _remove_server(self, server: ServerId) -> None:
         self._log.event('server_gone', server=server)
@@ -315,10 +350,3 @@
     def _caller_limits(self) -> CallerLimits:
         routes = self._sources.catalog.routes
         return routes.limits if routes else CallerLimits()
-
-
-def _call_later(
-    wait_ms: float, action: Callable[[], None]
-) -> asyncio.TimerHandle:
-    loop = asyncio.get_running_loop()
-    return loop.call_later(wait_ms / _MS_PER_S, action)
--- a/src/dandelionstage/spread/gossip_node.py
+++ b/src/dandelionstage/spread/gossip_node.py
@@ -10,16 +10,19 @@
 
 from ..catalog.catalog import Catalog
 from ..catalog.servers import ServerId
-from ..gateway.clock import now_ms
+from ..gateway.clock import call_later, now_ms
 from ..lifecycle.resource_owner import ResourceOwner
 from ..model.ids import VmId
 from ..operations.events import EventLog
 from ..operations.supervision import start_supervised
 from ..placing.budget_loans import Loan, Loans
+from ..placing.server_limits import ServerLimits
 from ..placing.slow_server_reports import SlowServer
 from .frames import host_and_port
 from .members import Address, Members
 from .messages import PROTOCOL, Hello, KnownMember, decode_hello, encode
+from .permit_exchange import ExchangeContext, PermitExchange
+from .permit_messages import PREFIX
 from .pulls import Puller, PullLimits, PullListener
 
 __all__ = ('FANOUT', 'MAX_ROUND_S', 'MIN_ROUND_S', 'GossipNode')
@@ -57,6 +60,8 @@
     :ivar list_slow_servers: lists the servers that this VM recently found slow.
     :ivar apply_slow_reports: applies another VM's reports of slow servers.
     :ivar loans: retry budget lent and borrowed.
+    :ivar limits: limits on requests that servers have named.
+    :ivar permits: requests for permits to send to limited servers.
     :ivar lend: lends part of this VM's retry budget; takes the borrower and
         the time of its request.
     """
@@ -83,6 +88,14 @@
         self._catalog = catalog
         self._log = log
         self._random = random
+        self.limits = ServerLimits()
+        self.permits = PermitExchange(
+            own,
+            self.members,
+            self.limits,
+            ExchangeContext(log, random, now_ms, call_later),
+        )
+        self.permits.send = self._send
         self.list_slow_servers: Callable[[], list[SlowServer]] = list
         self.apply_slow_reports: Callable[[list[SlowServer]], None] = (
             _ignore_reports
@@ -140,6 +153,7 @@
                 list(self.list_slow_servers()),
                 at_ms if self.loans.should_borrow(at_ms) else None,
                 loan,
+                self.limits.choose_reports(at_ms, self._random),
             )
         )
 
@@ -163,6 +177,7 @@
             self._send_hello(sender, wants_reply=False, loan=loan)
         self._puller.pull_if_newer(sender, hello.as_of)
         self.apply_slow_reports(_slow_servers_of(hello))
+        self.limits.apply_reports(hello.limits, now_ms())
 
     def _record_members(self, sender: Address, hello: Hello) -> None:
         """Record the states of the sender and of the VMs that it knows."""
@@ -192,7 +207,12 @@
         self, vm: Address, *, wants_reply: bool, loan: Loan | None = None
     ) -> None:
         if self._transport is not None and not self._transport.is_closing():
-            datagram = self.encode_hello(wants_reply=wants_reply, loan=loan)
+            self._send(
+                self.encode_hello(wants_reply=wants_reply, loan=loan), vm
+            )
+
+    def _send(self, datagram: bytes, vm: Address) -> None:
+        if self._transport is not None and not self._transport.is_closing():
             self._transport.sendto(datagram, host_and_port(vm))
 
     def _known_members(self) -> Iterator[KnownMember]:
@@ -268,4 +288,8 @@
         self, data: bytes, addr: tuple[str | Any, int]
     ) -> None:
         """Pass a datagram to the node."""
-        self._node.receive(data)
+        if data.startswith(PREFIX):
+            sender = Address(VmId('{0}:{1}'.format(*addr)))
+            self._node.permits.receive(data, sender)
+        else:
+            self._node.receive(data)
--- a/src/dandelionstage/spread/members.py
+++ b/src/dandelionstage/spread/members.py
@@ -133,6 +133,20 @@
             and member.heard_ms >= oldest_ms
         ]
 
+    def in_data_centre(self, data_centre: str) -> list[Address]:
+        """List the VMs of a data centre that may exist, this one included.
+
+        :returns: all VMs if the data centre has none.
+        """
+        vms = [
+            vm
+            for vm, member in self._members.items()
+            if member.data_centre == data_centre
+        ]
+        if data_centre == self._data_centre:
+            vms.append(self._own)
+        return vms or [*self._members, self._own]
+
     def elsewhere(self) -> list[Address]:
         """List the VMs of other data centres, the last heard from first."""
         return sorted(
--- a/src/dandelionstage/spread/messages.py
+++ b/src/dandelionstage/spread/messages.py
@@ -7,6 +7,8 @@
 import msgspec
 
 from ..placing.budget_loans import LENT_FRACTION, Loan
+from ..placing.server_limits import LimitReport
+from .permit_messages import check_report
 
 __all__ = (
     'Hello',
@@ -55,6 +57,7 @@
     :ivar asked_ms: time by the sender's clock if it requests a loan of retry
         budget, else ``None``.
     :ivar loan: loan granted to the receiver.
+    :ivar limits: what the sender knows of limits that servers named.
     """
 
     protocol: int
@@ -68,6 +71,7 @@
     slow: Sequence[tuple[str, float]]
     asked_ms: float | None
     loan: Loan | None
+    limits: Sequence[LimitReport] = ()
 
 
 @final
@@ -115,7 +119,7 @@
     would spread through the fleet.
 
     :raises msgspec.MsgspecError: if it is not a hello.
-    :raises ValueError: if an address, an age or a loan is invalid.
+    :raises ValueError: if an address, an age, a loan or a limit is invalid.
     """
     hello = _decode_hello(datagram)
     for address in (hello.vm, *(known.vm for known in hello.known)):
@@ -127,6 +131,8 @@
         raise ValueError('a VM was heard from in the future')
     if hello.loan is not None and not 0 <= hello.loan.fraction <= LENT_FRACTION:
         raise ValueError('loan of {0} shares'.format(hello.loan.fraction))
+    for report in hello.limits:
+        check_report(report)
     return hello
 
 
--- a/tests/gateway_harness.py
+++ b/tests/gateway_harness.py
@@ -28,6 +28,7 @@
     RetryBudgetLimits,
 )
 from dandelionstage.placing.replicas import Replicas
+from dandelionstage.placing.send_limit import SendLimit
 
 HEADER_NAMES = HeaderNames(
     request_id=b'x-id',
@@ -90,6 +91,7 @@
         self.is_retired = False
         self.has_idle_connection = True
         self.is_reachable = True
+        self.limit = SendLimit()
 
     @property
     def load(self):
--- a/tools/overload/servers.py
+++ b/tools/overload/servers.py
@@ -7,6 +7,7 @@
 from typing import Final, final
 
 from dandelionstage.gateway.attempt import Attempt, NoReply, Reply
+from dandelionstage.placing.send_limit import SendLimit
 
 from .clock import Clock, Timer
 from .load import Burst
@@ -132,6 +133,7 @@
         work: Callable[[bytes], float],
     ) -> None:
         self.has_idle_connection = True
+        self.limit = SendLimit()
         self._clock = clock
         self._server = server
         self._work = work
