Log the era of the store's history (CONFIG)

Revisions in the log could not be told apart before and after the store had been restored. The lines of the store's readers now bear the era of its answers; no decision uses it.

--- a/src/dandelionstage/platform/names.py
+++ b/src/dandelionstage/platform/names.py
@@ -5,6 +5,7 @@
 from ..gateway.reply_reader import HeaderNames
 
 __all__ = (
+    'ERA_HEADER',
     'HEADERS',
     'METRICS_PORT',
     'METRICS_TARGET',
@@ -24,6 +25,8 @@
     limit=b'server-limit',
 )
 READY_TARGET: Final = b'/api/ready'
+#: Number of the store's history, in all replies of the store.
+ERA_HEADER: Final = b'store-era'
 #: Paths of the store: items by key, and changes after a revision.
 RANGE_PATH: Final = '/api/kv-range'
 WATCH_PATH: Final = '/api/kv-watch'
--- a/src/dandelionstage/platform/store_client.py
+++ b/src/dandelionstage/platform/store_client.py
@@ -11,7 +11,7 @@
 from ..gateway.attempt import Reply
 from ..gateway.keep_alive import KeepAlive
 from ..gateway.reply_reader import ReplyReader, StreamState
-from .names import HEADERS, RANGE_PATH, WATCH_PATH
+from .names import ERA_HEADER, HEADERS, RANGE_PATH, WATCH_PATH
 from .store_bodies import Page, WatchResult, decode_page, decode_watch_result
 
 __all__ = ('HistoryGone', 'StoreClient', 'StoreUnavailable')
@@ -58,12 +58,16 @@
 
     A connection is closed after a time-out, because it may be dead.  The
     owner closes the client.
+
+    :ivar era: era of the store's history in the last reply, 0 if the store
+        names none; rises each time that the store is restored from a copy.
     """
 
     def __init__(self, host: str, port: int) -> None:
         """Store the address; the first request connects to it."""
         self._host = host
         self._port = port
+        self.era = 0
         self._connection: _StoreConnection | None = None
 
     def close(self) -> None:
@@ -140,6 +144,7 @@
             raise StoreUnavailable(repr(error), is_answered=False) from error
         if not connection.is_usable:
             self.close()
+        self.era = _read_era(reply)
         return reply
 
     async def _connect(self) -> '_StoreConnection':
@@ -156,6 +161,12 @@
         return self._connection
 
 
+def _read_era(reply: Reply) -> int:
+    """Return the era of the store's history, 0 if the reply names none."""
+    era = dict(reply.headers).get(ERA_HEADER, b'')
+    return int(era) if era.isdigit() else 0
+
+
 def _decode_reply(decode: Callable[[bytes], _Body], reply: Reply) -> _Body:
     if reply.status == _GONE:
         raise HistoryGone
--- a/src/dandelionstage/platform/store_reader.py
+++ b/src/dandelionstage/platform/store_reader.py
@@ -98,7 +98,9 @@
             result = await self._client.watch(as_of, _IMMEDIATE_WATCH_MS)
         except HistoryGone:
             # The watches of the readers have failed for the same reason.
-            self._log.event('store_history_gone', as_of=as_of)
+            self._log.event(
+                'store_history_gone', as_of=as_of, era=self._client.era
+            )
             await self._read_all()
         else:
             self._apply(result.items, result.as_of)
@@ -123,7 +125,11 @@
         try:
             await self._read_changes()
         except HistoryGone:
-            self._log.event('store_history_gone', as_of=self._catalog.as_of)
+            self._log.event(
+                'store_history_gone',
+                as_of=self._catalog.as_of,
+                era=self._client.era,
+            )
             self._must_read_all = True
         except StoreUnavailable as fault:
             await self._back_off(str(fault))
@@ -154,7 +160,9 @@
                 item.key for item in items
             )
             items += [CatalogItem(key, as_of, None) for key in missing]
-        self._log.event('store_read', as_of=as_of, items=len(items))
+        self._log.event(
+            'store_read', as_of=as_of, items=len(items), era=self._client.era
+        )
         self._apply(items, as_of)
 
     def _apply(self, items: list[CatalogItem], as_of: StoreRevision) -> None:
@@ -173,6 +181,7 @@
             self._log.event(
                 'catalog_read',
                 as_of=as_of,
+                era=self._client.era,
                 changed=changed,
                 held_back=len(self._deferred_removals),
                 routes_version=routes.version if routes else None,
@@ -219,7 +228,11 @@
             self._failures = 0
             self._members.has_store = True
             self._deferred_removals.start_deferring(now_ms())
-            self._log.event('store_regained', as_of=self._catalog.as_of)
+            self._log.event(
+                'store_regained',
+                as_of=self._catalog.as_of,
+                era=self._client.era,
+            )
 
     def _set_role(self, *, is_reading: bool) -> None:
         if is_reading is not self._is_reading:
