--- a/tools/standins/platform/store.py
+++ b/tools/standins/platform/store.py
@@ -4,6 +4,7 @@
 import base64
 import json
 from contextlib import AsyncExitStack, suppress
+from dataclasses import dataclass
 from enum import Enum, unique
 from http import HTTPStatus
 from types import MappingProxyType
@@ -39,12 +40,22 @@
 )
 
 
+@final
+@dataclass(frozen=True, slots=True)
+class StoreCopy:
+    """Items of the store at one revision."""
+
+    revision: int
+    items: dict[str, tuple[int, bytes]]
+
+
 @final
 class Store(ResourceOwner):  # noqa: WPS214 -- one store, short methods
     """Holds items under one revision counter.
 
     :ivar mode: how calls are treated; may be changed at any time.
     :ivar calls: calls of each kind, refused ones too.
+    :ivar era: number of its history, in the header of every answer.
     """
 
     def __init__(self, host: str, port: int) -> None:
@@ -52,6 +63,7 @@
         self.mode = StoreMode.WELL
         self.calls: dict[str, int] = {}
         self.revision = 1
+        self.era = 1
         self._items: dict[str, tuple[int, bytes]] = {}
         self._history: list[tuple[int, str, bytes | None]] = []
         self._forgotten = 0
@@ -78,6 +90,18 @@
         self._history.clear()
         self._wake()
 
+    def copy(self) -> StoreCopy:
+        """Return a copy of all items."""
+        return StoreCopy(self.revision, dict(self._items))
+
+    def restore(self, copy: StoreCopy) -> None:
+        """Lose all that was written since a copy, with its revisions."""
+        self.era += 1
+        self.revision = copy.revision
+        self._items = dict(copy.items)
+        self.forget_history()
+        self.cut_all()
+
     def cut_all(self) -> None:
         """Reset every connection."""
         self._port.cut_all()
@@ -103,19 +127,19 @@
         if self.mode is StoreMode.RESET:
             return b'reset'
         if self.mode is not StoreMode.WELL:
-            return _answer(_REFUSALS[self.mode], {})
+            return self._answer(_REFUSALS[self.mode], {})
         if kind == 'kv-range':
             return self._range(query)
         if kind == 'kv-watch':
             return await self._watch(query)
-        return _answer(HTTPStatus.NOT_FOUND, {})
+        return self._answer(HTTPStatus.NOT_FOUND, {})
 
     def _range(self, query: dict[str, str]) -> bytes:
         after = query.get('after', '')
         prefix = query.get('prefix', '')
         fitting = [key for key in self._items if key.startswith(prefix)]
         keys = sorted(key for key in fitting if key > after)
-        return _answer(
+        return self._answer(
             HTTPStatus.OK,
             {
                 'items': [self._show(key) for key in keys[:_PAGE]],
@@ -132,12 +156,26 @@
                 await asyncio.wait_for(
                     changed, int(query['waitMs']) / _MS_PER_S
                 )
-        if after < self._forgotten:
-            return _answer(HTTPStatus.GONE, {})
+        if after < self._forgotten or after > self.revision:
+            return self._answer(HTTPStatus.GONE, {})
         events = [
             _event(*change) for change in self._history if change[0] > after
         ]
-        return _answer(HTTPStatus.OK, {'events': events, 'asOf': self.revision})
+        return self._answer(
+            HTTPStatus.OK, {'events': events, 'asOf': self.revision}
+        )
+
+    def _answer(self, status: HTTPStatus, body: dict[str, Any]) -> bytes:
+        encoded = json.dumps(body).encode()
+        head = (
+            'HTTP/1.1 {0} {1}\r\nContent-Length: {2}\r\nStore-Era: {3}\r\n\r\n'
+        )
+        return (
+            head.format(
+                status.value, status.phrase, len(encoded), self.era
+            ).encode()
+            + encoded
+        )
 
     def _show(self, key: str) -> dict[str, Any]:
         revision, raw = self._items[key]
@@ -154,11 +192,3 @@
         'lease': 0,
         'value': base64.b64encode(raw).decode(),
     }
-
-
-def _answer(status: HTTPStatus, body: dict[str, Any]) -> bytes:
-    encoded = json.dumps(body).encode()
-    head = 'HTTP/1.1 {0} {1}\r\nContent-Length: {2}\r\n\r\n'.format(
-        status.value, status.phrase, len(encoded)
-    )
-    return head.encode() + encoded
