A store restored from an older copy: positions bear its era (CONFIG)

Cause: revisions of two histories were compared. The readers knew 53; the store gave out 53 again, for the new version. What was read was dropped as not newer, and the next watch from 53 went on after it.

Change: the store's replies bear an era, which rises with each restore. All comparisons are by position, the era and the revision within it: in the catalog, in hellos, in pulls. A reply of a later era than the watch asked for counts as lost history and all items are read; one of an earlier era as no answer. Entries that the copy lists but are older than what a VM knows, by the server's own count or the version of the routes, are not used; VMs pass them on marked as such. An entry that the store keeps for four heartbeats is used, as that of a server that is gone expires; a server that was draining stays out. If all items have just been read and history is gone again, the reader backs off. Gossip messages have a new protocol number, as their positions mean something else.

Ruled out: taking whatever a full read says (brings back servers that left, and an older configuration for as long as the operator has not written again); forgetting all at a new era (no servers until read).

--- a/src/dandelionstage/catalog/catalog.py
+++ b/src/dandelionstage/catalog/catalog.py
@@ -6,11 +6,12 @@
 
 from collections import OrderedDict
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Final, final
 
+from .positions import StoreRevision, era_of
 from .routes import RouteTable
-from .servers import ServerId, ServerRecord, StoreRevision
+from .servers import ServerId, ServerRecord, ServerState
 
 __all__ = ('Catalog', 'Change', 'CatalogItem')
 
@@ -27,11 +28,14 @@
     :ivar key: key of the entry.
     :ivar revision: store revision at which the entry was changed.
     :ivar raw: value of the entry, ``None`` if it was removed.
+    :ivar is_older: whether the VM that passed it on knows that it is older
+        than the last entry of its server.
     """
 
     key: str
     revision: StoreRevision
     raw: bytes | None
+    is_older: bool = False
 
 
 @final
@@ -49,6 +53,18 @@
     removed_server: ServerId | None = None
 
 
+@final
+@dataclass(frozen=True, slots=True)
+class _Removal:
+    """Removal of an item.
+
+    :ivar last: last record of the server, ``None`` if it was never known.
+    """
+
+    revision: StoreRevision
+    last: ServerRecord | None
+
+
 @final
 class Catalog:  # noqa: WPS214 -- many short methods on one table
     """Table of routes and servers that keeps the newest revision of each item.
@@ -56,9 +72,14 @@
     Two sources may deliver the same items at different times, so an item is
     applied by its own revision, not by the order of arrival.
 
+    A store that is restored from a copy lists entries again that have changed
+    or left since.  Such an older entry does not replace what is known of its
+    server, unless :meth:`accept_older` says so.
+
     :ivar routes: version in force, ``None`` before the first one.
     :ivar as_of: store revision up to which the catalog is complete.
     :ivar on_routes: callbacks for a new version of the routes.
+    :ivar on_restored: callbacks for a later era of the store.
     :ivar on_server_updated: callbacks for an added or changed server.
     :ivar on_server_removed: callbacks for a removed server.
     """
@@ -71,14 +92,17 @@
         """
         self.routes: RouteTable | None = None
         self.as_of = StoreRevision(0)
+        self.on_restored: list[Callable[[StoreRevision], None]] = []
         self.on_routes: list[Callable[[RouteTable], None]] = []
         self.on_server_updated: list[Callable[[ServerRecord], None]] = []
         self.on_server_removed: list[Callable[[ServerId], None]] = []
+        self._era = 0
         self._interpret = interpret
         self._items: dict[str, CatalogItem] = {}
         #: Revision since which every removal is remembered.
         self._removals_since = StoreRevision(0)
-        self._removed: OrderedDict[str, StoreRevision] = OrderedDict()
+        self._removed: OrderedDict[str, _Removal] = OrderedDict()
+        self._older: dict[str, CatalogItem] = {}
         self._servers: dict[ServerId, ServerRecord] = {}
 
     @property
@@ -94,14 +118,19 @@
     def items_since(self, revision: StoreRevision) -> list[CatalogItem]:
         """List the items changed after a revision, including removals."""
         removals = [
-            CatalogItem(key, removed, None)
-            for key, removed in self._removed.items()
-            if removed > revision
+            CatalogItem(key, removal.revision, None)
+            for key, removal in self._removed.items()
+            if removal.revision > revision
         ]
         changed = [
             item for item in self._items.values() if item.revision > revision
         ]
-        return changed + removals
+        older = [
+            replace(item, is_older=True)
+            for item in self._older.values()
+            if item.revision > revision
+        ]
+        return changed + removals + older
 
     def remembers_removals_since(self, revision: StoreRevision) -> bool:
         """Whether :meth:`items_since` a revision contains every removal.
@@ -116,6 +145,7 @@
         :param as_of: store revision that the catalog is complete up to once
             the items are applied.
         """
+        self.note_era(as_of)
         if not self.as_of:
             self._removals_since = as_of
         applied = 0
@@ -126,33 +156,127 @@
         self.as_of = max(self.as_of, as_of)
         return applied
 
+    def note_era(self, as_of: StoreRevision) -> None:
+        """Call the callbacks if the store has been restored.
+
+        :param as_of: a position of the store.
+        """
+        is_later = era_of(as_of) > self._era
+        if is_later:
+            self._era = era_of(as_of)
+        if is_later and self.as_of:
+            for on_restored in self.on_restored:
+                on_restored(as_of)
+
     def keys_missing_from(self, keys: Iterable[str]) -> list[str]:
         """List the known keys that a complete read of the store lacks.
 
         :param keys: all keys that were read.
         """
-        return sorted(self._items.keys() - frozenset(keys))
+        known = self._items.keys() | self._older.keys()
+        return sorted(known - frozenset(keys))
 
     def revision_of(self, key: str) -> StoreRevision:
         """Return the revision of the last change of a key, 0 if unknown."""
         item = self._items.get(key)
-        removed = self._removed.get(key, StoreRevision(0))
-        return max(item.revision, removed) if item else removed
+        if item is not None:
+            return item.revision
+        removal = self._removed.get(key)
+        return removal.revision if removal else StoreRevision(0)
+
+    def older_entries(self) -> list[CatalogItem]:
+        """List the older entries of servers that may be alive.
+
+        A server that was draining never takes new work again, so its older
+        entries do not count.
+        """
+        return [
+            item
+            for key, item in self._older.items()
+            if (removal := self._removed.get(key)) is not None
+            and removal.last is not None
+            and removal.last.state is ServerState.LIVE
+        ]
+
+    def accept_older(self, item: CatalogItem) -> None:
+        """Apply an older entry that the store has kept."""
+        if self._older.get(item.key) == item:
+            self._use_item(item, self._interpret(item))
 
     def _is_new(self, item: CatalogItem) -> bool:
-        return item.revision > self.revision_of(item.key)
+        older = self._older.get(item.key)
+        known = older.revision if older else self.revision_of(item.key)
+        return item.revision > known
 
     def _apply_item(self, item: CatalogItem) -> None:
+        known = self._items.get(item.key)
         if item.raw is None:
-            self._items.pop(item.key, None)
-            self._removed[item.key] = item.revision
-            if len(self._removed) > _MAX_KEPT_REMOVALS:
-                _, evicted = self._removed.popitem(last=False)
-                self._removals_since = max(self._removals_since, evicted)
-        else:
-            self._removed.pop(item.key, None)
+            self._remove_item(item)
+        elif known is not None and known.raw == item.raw:
+            # The store was restored, and gave the entry another revision.
+            self._older.pop(item.key, None)
             self._items[item.key] = item
-        self._apply_change(self._interpret(item))
+        else:
+            self._apply_entry(item)
+
+    def _apply_entry(self, item: CatalogItem) -> None:
+        change = self._interpret(item)
+        if item.is_older and item.key not in self._items:
+            # This VM may not know what the other one knows.
+            self._removed.setdefault(
+                item.key, _Removal(StoreRevision(0), change.server)
+            )
+        if self._is_older(item, change):
+            self._older[item.key] = item
+        else:
+            self._use_item(item, change)
+
+    def _use_item(self, item: CatalogItem, change: Change) -> None:
+        self._older.pop(item.key, None)
+        self._removed.pop(item.key, None)
+        self._items[item.key] = item
+        self._apply_change(change)
+
+    def _remove_item(self, item: CatalogItem) -> None:
+        change = self._interpret(item)
+        last = self._last_record(item.key, change.removed_server)
+        self._older.pop(item.key, None)
+        self._items.pop(item.key, None)
+        self._removed[item.key] = _Removal(item.revision, last)
+        if len(self._removed) > _MAX_KEPT_REMOVALS:
+            _, evicted = self._removed.popitem(last=False)
+            self._removals_since = max(self._removals_since, evicted.revision)
+        self._apply_change(change)
+
+    def _is_older(self, item: CatalogItem, change: Change) -> bool:
+        """Whether an entry comes from a copy older than what is known.
+
+        Within one history, the revision alone tells which one is newer.
+        """
+        if era_of(item.revision) == era_of(self.revision_of(item.key)):
+            return False
+        if change.routes is not None and self.routes is not None:
+            return change.routes.version < self.routes.version
+        return change.server is not None and self._is_older_record(
+            item.key, change.server
+        )
+
+    def _is_older_record(self, key: str, record: ServerRecord) -> bool:
+        last = self._last_record(key, record.server)
+        if last is None:
+            return False
+        if key in self._removed:
+            return not record.is_newer_than(last)
+        return last.is_newer_than(record)
+
+    def _last_record(
+        self, key: str, server: ServerId | None
+    ) -> ServerRecord | None:
+        """Return the last known record of a server, also if it was removed."""
+        removal = self._removed.get(key)
+        if removal is not None:
+            return removal.last
+        return None if server is None else self._servers.get(server)
 
     def _apply_change(self, change: Change) -> None:
         if change.routes is not None:
--- a/src/dandelionstage/catalog/deferred_removals.py
+++ b/src/dandelionstage/catalog/deferred_removals.py
@@ -4,7 +4,7 @@
 from typing import Final, final
 
 from .catalog import CatalogItem
-from .servers import StoreRevision
+from .positions import StoreRevision
 
 __all__ = ('DeferredRemovals',)
 
--- a/src/dandelionstage/catalog/servers.py
+++ b/src/dandelionstage/catalog/servers.py
@@ -6,12 +6,10 @@
 
 from .routes import ServiceId
 
-__all__ = ('ServerId', 'ServerRecord', 'ServerState', 'StoreRevision')
+__all__ = ('ServerId', 'ServerRecord', 'ServerState')
 
 #: Usually differs between two starts of the same backend server.
 ServerId = NewType('ServerId', str)
-#: Number of changes to the store so far; unique for every change.
-StoreRevision = NewType('StoreRevision', int)
 
 
 @unique
@@ -32,6 +30,8 @@
         slow.
     :ivar started_ms: Unix time of the server's start in milliseconds, 0 if
         unknown; distinguishes two starts under one id.
+    :ivar sequence: number that the server counts up from its start; of two
+        entries of one start, the higher one is newer.
     """
 
     server: ServerId
@@ -43,3 +43,11 @@
     state: ServerState
     warm_up_left_ms: float = 0
     started_ms: int = 0
+    sequence: int = 0
+
+    def is_newer_than(self, other: 'ServerRecord') -> bool:
+        """Whether the server wrote this after another entry."""
+        return (self.started_ms, self.sequence) > (
+            other.started_ms,
+            other.sequence,
+        )
--- a/src/dandelionstage/platform/config_bodies.py
+++ b/src/dandelionstage/platform/config_bodies.py
@@ -92,6 +92,7 @@
     :ivar state: ``ready`` or ``draining``.
     :ivar warmup_left_ms: remaining warm-up time, in which the server is slow.
     :ivar born: start time in Unix milliseconds.
+    :ivar seq: number that the server counts up from its start.
     """
 
     service: str
@@ -101,3 +102,4 @@
     state: str
     warmup_left_ms: float = 0
     born: int = 0
+    seq: int = 0
--- a/src/dandelionstage/platform/entry_parser.py
+++ b/src/dandelionstage/platform/entry_parser.py
@@ -92,6 +92,7 @@
         state=_SERVER_STATES[body.state],
         warm_up_left_ms=body.warmup_left_ms,
         started_ms=body.born,
+        sequence=body.seq,
     )
 
 
--- a/src/dandelionstage/platform/revision_check.py
+++ b/src/dandelionstage/platform/revision_check.py
@@ -5,6 +5,7 @@
 from typing import Final, final
 
 from ..catalog.catalog import Catalog
+from ..catalog.positions import era_of, log_fields, revision_of
 from ..gateway.clock import now_ms
 from ..operations.events import EventLog
 from ..spread.members import Members
@@ -70,7 +71,8 @@
         if store_revision > self._catalog.as_of:
             self._log.event(
                 'readers_behind',
-                store_is_at=store_revision,
-                as_of=self._catalog.as_of,
+                store_is_at=revision_of(store_revision),
+                store_era=era_of(store_revision),
+                **log_fields(self._catalog.as_of),
             )
             await self._reader.catch_up()
--- a/src/dandelionstage/platform/settings.py
+++ b/src/dandelionstage/platform/settings.py
@@ -16,6 +16,9 @@
 #: Fraction of the memory that unfinished messages may take.
 _UNFINISHED_FRACTION: Final = 0.05
 _BYTES_PER_MB: Final = 1_000_000
+_DEFAULT_HEARTBEAT_MS: Final = 1200.0
+#: The store removes an entry after three heartbeats without news.
+_HEARTBEATS_PER_EXPIRY: Final = 4
 
 
 @final
@@ -78,6 +81,7 @@
     :ivar seeds: addresses of some VMs, possibly stale; only the host is used.
     :ivar platform: address of the store.
     :ivar limits: resources of this VM.
+    :ivar heartbeat_ms: time after which a server renews its entry.
     """
 
     node_name: str
@@ -89,6 +93,7 @@
     bounds: _Bounds
     platform: _StoreSettings
     limits: _VmLimits = _VmLimits()
+    heartbeat_ms: float = _DEFAULT_HEARTBEAT_MS
 
     @property
     def retry_budget_limits(self) -> RetryBudgetLimits:
@@ -116,6 +121,11 @@
         """Bytes of messages being received that the process may hold."""
         return int(self.limits.memory_mb * _BYTES_PER_MB * _UNFINISHED_FRACTION)
 
+    @property
+    def entry_expiry_ms(self) -> float:
+        """Time after which the entry of a server that is gone is removed."""
+        return self.heartbeat_ms * _HEARTBEATS_PER_EXPIRY
+
     def gossip_address(self, host: str) -> str:
         """Return the gossip address of a VM: the first internal port."""
         return '{0}:{1}'.format(host, self.internal_port_range[0])
--- a/src/dandelionstage/platform/sources.py
+++ b/src/dandelionstage/platform/sources.py
@@ -1,11 +1,15 @@
 """The sources of the catalog: the store and the other VMs."""
 
+import asyncio
 from contextlib import AsyncExitStack
 from functools import partial
 from random import Random
-from typing import final
+from typing import Final, final
 
 from ..catalog.catalog import Catalog
+from ..catalog.older_entries import OlderEntries
+from ..catalog.positions import log_fields
+from ..gateway.clock import now_ms
 from ..lifecycle.resource_owner import ResourceOwner
 from ..model.ids import VmId
 from ..operations.events import EventLog
@@ -22,6 +26,9 @@
 
 __all__ = ('CatalogSources',)
 
+#: Interval of the checks for older entries.
+_OLDER_ENTRIES_INTERVAL_S: Final = 0.5
+
 
 @final
 class CatalogSources(ResourceOwner):
@@ -54,13 +61,15 @@
         self._revision_check = RevisionCheck(
             self._client, self.catalog, self.spread.members, self._reader, log
         )
+        self._older_entries = OlderEntries(settings.entry_expiry_ms)
         self._random = random
         self._log = log
         self.apply_settings(settings)
 
     def apply_settings(self, settings: BootSettings) -> None:
-        """Apply the length of a watch and the addresses of the seeds."""
+        """Apply the times of the store and the addresses of the seeds."""
         self._reader.watch_ms = settings.watch_ms
+        self._older_entries.expiry_ms = settings.entry_expiry_ms
         self.spread.replace_seeds(
             _address(settings, host_and_port(seed)[0])
             for seed in settings.seeds
@@ -79,6 +88,21 @@
             self._log,
         )
         stack.callback(check_task.cancel)
+        older_task = start_supervised(
+            'older entries', self._accept_older_entries, self._log
+        )
+        stack.callback(older_task.cancel)
+
+    async def _accept_older_entries(self) -> None:
+        """Use older entries that a restored store has kept."""
+        while True:
+            await asyncio.sleep(_OLDER_ENTRIES_INTERVAL_S)
+            older = self.catalog.older_entries()
+            for entry in self._older_entries.list_kept(older, now_ms()):
+                self._log.event(
+                    'entry_kept', key=entry.key, **log_fields(entry.revision)
+                )
+                self.catalog.accept_older(entry)
 
 
 def _address(settings: BootSettings, host: str) -> Address:
--- a/src/dandelionstage/platform/status_pages.py
+++ b/src/dandelionstage/platform/status_pages.py
@@ -4,6 +4,7 @@
 from http import HTTPStatus
 from typing import Final, final
 
+from ..catalog.positions import era_of, revision_of
 from ..gateway.caller_listener import CallerListener
 from ..gateway.requests import Answer
 from ..operations.events import EventLog
@@ -60,6 +61,7 @@
             'caller_connections': self._callers.connection_count,
             'servers_listed': len(catalog.servers),
             'routes_version': catalog.routes.version if catalog.routes else 0,
-            'store_revision': catalog.as_of,
+            'store_revision': revision_of(catalog.as_of),
+            'store_era': era_of(catalog.as_of),
             'members_known': len(self._sources.spread.members),
         }
--- a/src/dandelionstage/platform/store_bodies.py
+++ b/src/dandelionstage/platform/store_bodies.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from ..catalog.catalog import CatalogItem
-from ..catalog.servers import StoreRevision
+from ..catalog.positions import StoreRevision, position
 
 __all__ = ('Page', 'WatchResult', 'decode_page', 'decode_watch_result')
 
@@ -72,28 +72,32 @@
     as_of: StoreRevision
 
 
-def decode_page(body: bytes) -> Page:
+def decode_page(body: bytes, era: int) -> Page:
     """Decode a page.
 
+    :param era: era of the store's history.
     :raises msgspec.MsgspecError: if the body is not a page.
+    :raises ValueError: if a revision is out of range.
     """
     page = msgspec.json.decode(body, type=_PageBody)
-    items = [_decode_item(each) for each in page.items]
+    items = [_decode_item(each, era) for each in page.items]
     last_key = items[-1].key if page.has_more and items else ''
-    return Page(items, StoreRevision(page.as_of), last_key)
+    return Page(items, position(era, page.as_of), last_key)
 
 
-def decode_watch_result(body: bytes) -> WatchResult:
+def decode_watch_result(body: bytes, era: int) -> WatchResult:
     """Decode a watch response.
 
+    :param era: era of the store's history.
     :raises msgspec.MsgspecError: if the body is not a watch response.
+    :raises ValueError: if a revision is out of range.
     """
     result = msgspec.json.decode(body, type=_WatchBody)
-    changed = [_decode_item(each) for each in result.events]
-    return WatchResult(changed, StoreRevision(result.as_of))
+    changed = [_decode_item(each, era) for each in result.events]
+    return WatchResult(changed, position(era, result.as_of))
 
 
-def _decode_item(item: _StoreItem) -> CatalogItem:
+def _decode_item(item: _StoreItem, era: int) -> CatalogItem:
     raw: bytes | None = None
     if not item.deleted:
         try:
@@ -101,4 +105,4 @@
         except binascii.Error:
             # An empty value is an invalid entry; the entry parser logs it.
             raw = b''
-    return CatalogItem(item.key, StoreRevision(item.revision), raw)
+    return CatalogItem(item.key, position(era, item.revision), raw)
--- a/src/dandelionstage/platform/store_client.py
+++ b/src/dandelionstage/platform/store_client.py
@@ -1,13 +1,14 @@
 """Reads the platform's store over one persistent connection."""
 
 import asyncio
+import re
 from collections.abc import Callable
 from typing import Final, TypeVar, cast, final
 from urllib.parse import urlencode
 
 import msgspec
 
-from ..catalog.servers import StoreRevision
+from ..catalog.positions import StoreRevision, era_of, revision_of
 from ..gateway.attempt import Reply
 from ..gateway.keep_alive import KeepAlive
 from ..gateway.reply_reader import ReplyReader, StreamState
@@ -31,6 +32,7 @@
 #: No key has this prefix, so the page contains no items.
 _UNUSED_PREFIX: Final = '-'
 _MS_PER_S: Final = 1000
+_ERA: Final = re.compile(rb'\d{1,6}')
 #: Lets the kernel detect an unreachable store while a watch waits.
 _KEEP_ALIVE: Final = KeepAlive(idle_s=1, interval_s=1, probe_count=2)
 
@@ -49,7 +51,10 @@
 
 
 class HistoryGone(Exception):
-    """The store no longer holds the requested part of its history."""
+    """The store no longer holds the requested part of its history.
+
+    It has discarded it, or was restored from a copy and has another history.
+    """
 
 
 @final
@@ -58,16 +63,12 @@
 
     A connection is closed after a time-out, because it may be dead.  The
     owner closes the client.
-
-    :ivar era: era of the store's history in the last reply, 0 if the store
-        names none; rises each time that the store is restored from a copy.
     """
 
     def __init__(self, host: str, port: int) -> None:
         """Store the address; the first request connects to it."""
         self._host = host
         self._port = port
-        self.era = 0
         self._connection: _StoreConnection | None = None
 
     def close(self) -> None:
@@ -102,9 +103,9 @@
                 query['serializable'] = '1'
             reply = await self._get(RANGE_PATH, query, _PAGE_TIMEOUT_S)
             page = _decode_reply(decode_page, reply)
-            if any(item.key <= after for item in page.items):
+            if not _follows(page, after, pages):
                 self.close()
-                raise StoreUnavailable('page repeats keys up to the last one')
+                raise StoreUnavailable('page does not follow the one before')
             pages.append(page)
             after = page.last_key
         return pages
@@ -126,10 +127,20 @@
         :raises StoreUnavailable: if the answer is missing or invalid.
         :raises HistoryGone: if the store no longer holds the changes.
         """
-        query = {'prefix': '', 'after': str(after), 'waitMs': str(wait_ms)}
+        query = {
+            'prefix': '',
+            'after': str(revision_of(after)),
+            'waitMs': str(wait_ms),
+        }
         timeout_s = wait_ms / _MS_PER_S + _ANSWER_TIMEOUT_S
         reply = await self._get(WATCH_PATH, query, timeout_s)
-        return _decode_reply(decode_watch_result, reply)
+        watched = _decode_reply(decode_watch_result, reply)
+        if era_of(watched.as_of) > era_of(after):
+            # The same revision in another history.
+            raise HistoryGone
+        if era_of(watched.as_of) < era_of(after):
+            raise StoreUnavailable('reply of an earlier history of the store')
+        return watched
 
     async def _get(
         self, path: str, query: dict[str, str], timeout_s: float
@@ -144,7 +155,6 @@
             raise StoreUnavailable(repr(error), is_answered=False) from error
         if not connection.is_usable:
             self.close()
-        self.era = _read_era(reply)
         return reply
 
     async def _connect(self) -> '_StoreConnection':
@@ -162,19 +172,30 @@
 
 
 def _read_era(reply: Reply) -> int:
-    """Return the era of the store's history, 0 if the reply names none."""
+    """Return the era of the store's history, 0 if the reply names none.
+
+    It rises each time that the store is restored from a copy.
+    """
     era = dict(reply.headers).get(ERA_HEADER, b'')
-    return int(era) if era.isdigit() else 0
+    return int(era) if _ERA.fullmatch(era) else 0
+
+
+def _follows(page: Page, after: str, pages: list[Page]) -> bool:
+    """Whether a page follows the others, and is of the same history."""
+    is_same_era = all(
+        era_of(page.as_of) == era_of(other.as_of) for other in pages[:1]
+    )
+    return is_same_era and all(item.key > after for item in page.items)
 
 
-def _decode_reply(decode: Callable[[bytes], _Body], reply: Reply) -> _Body:
+def _decode_reply(decode: Callable[[bytes, int], _Body], reply: Reply) -> _Body:
     if reply.status == _GONE:
         raise HistoryGone
     if reply.status != _OK:
         raise StoreUnavailable('unexpected status {0}'.format(reply.status))
     try:
-        return decode(reply.body)
-    except msgspec.MsgspecError as fault:
+        return decode(reply.body, _read_era(reply))
+    except (msgspec.MsgspecError, ValueError) as fault:
         raise StoreUnavailable('invalid body: {0}'.format(fault)) from fault
 
 
--- a/src/dandelionstage/platform/store_reader.py
+++ b/src/dandelionstage/platform/store_reader.py
@@ -8,7 +8,7 @@
 
 from ..catalog.catalog import Catalog, CatalogItem
 from ..catalog.deferred_removals import DeferredRemovals
-from ..catalog.servers import StoreRevision
+from ..catalog.positions import StoreRevision, log_fields
 from ..gateway.clock import now_ms
 from ..operations.events import EventLog
 from ..spread.members import Members
@@ -71,10 +71,12 @@
         self._deferred_removals = DeferredRemovals()
         self._is_reading = False
         self._must_read_all = False
+        self._has_just_read_all = False
         self._failures = 0
         self._last_failure_ms: float = 0
         # Ahead of the catalog's revision while a removal is deferred.
         self._last_read_revision = StoreRevision(0)
+        catalog.on_restored.append(self._note_restored)
 
     async def run(self) -> None:
         """Read the store while this VM is a reader, until cancelled."""
@@ -98,9 +100,7 @@
             result = await self._client.watch(as_of, _IMMEDIATE_WATCH_MS)
         except HistoryGone:
             # The watches of the readers have failed for the same reason.
-            self._log.event(
-                'store_history_gone', as_of=as_of, era=self._client.era
-            )
+            self._log.event('store_history_gone', **log_fields(as_of))
             await self._read_all()
         else:
             self._apply(result.items, result.as_of)
@@ -126,10 +126,11 @@
             await self._read_changes()
         except HistoryGone:
             self._log.event(
-                'store_history_gone',
-                as_of=self._catalog.as_of,
-                era=self._client.era,
+                'store_history_gone', **log_fields(self._catalog.as_of)
             )
+            if self._has_just_read_all:
+                # Reading all items again would not help at once either.
+                await self._back_off('history gone again')
             self._must_read_all = True
         except StoreUnavailable as fault:
             await self._back_off(str(fault))
@@ -138,8 +139,10 @@
         if self._must_read_all or not self._catalog.as_of:
             await self._read_all()
             self._must_read_all = False
+            self._has_just_read_all = True
         after = max(self._catalog.as_of, self._last_read_revision)
         result = await self._client.watch(after, self._next_watch_ms())
+        self._has_just_read_all = False
         self._note_success()
         self._watch_succeeded = True
         self._apply(result.items, result.as_of)
@@ -160,13 +163,12 @@
                 item.key for item in items
             )
             items += [CatalogItem(key, as_of, None) for key in missing]
-        self._log.event(
-            'store_read', as_of=as_of, items=len(items), era=self._client.era
-        )
+        self._log.event('store_read', items=len(items), **log_fields(as_of))
         self._apply(items, as_of)
 
     def _apply(self, items: list[CatalogItem], as_of: StoreRevision) -> None:
         at_ms = now_ms()
+        self._catalog.note_era(as_of)
         confirmed = self._deferred_removals.filter_items(items, at_ms)
         confirmed += self._deferred_removals.pop_due(at_ms)
         self._last_read_revision = max(self._last_read_revision, as_of)
@@ -180,8 +182,7 @@
             routes = self._catalog.routes
             self._log.event(
                 'catalog_read',
-                as_of=as_of,
-                era=self._client.era,
+                **log_fields(as_of),
                 changed=changed,
                 held_back=len(self._deferred_removals),
                 routes_version=routes.version if routes else None,
@@ -189,6 +190,14 @@
             )
             self.on_change()
 
+    def _note_restored(self, as_of: StoreRevision) -> None:
+        """Defer removals, as what was written since the copy is written again.
+
+        :param as_of: position at which the restored store was first seen.
+        """
+        self._log.event('store_restored', **log_fields(as_of))
+        self._deferred_removals.start_deferring(now_ms())
+
     def _next_watch_ms(self) -> int:
         """Return how long the next watch may wait for a change, in ms."""
         max_wait_ms = (
@@ -204,7 +213,7 @@
         """Mark the store as lost and wait before the next attempt."""
         if not self._failures:
             self._log.event(
-                'store_lost', fault=fault, as_of=self._catalog.as_of
+                'store_lost', fault=fault, **log_fields(self._catalog.as_of)
             )
         self._members.has_store = False
         self._watch_succeeded = False
@@ -228,18 +237,14 @@
             self._failures = 0
             self._members.has_store = True
             self._deferred_removals.start_deferring(now_ms())
-            self._log.event(
-                'store_regained',
-                as_of=self._catalog.as_of,
-                era=self._client.era,
-            )
+            self._log.event('store_regained', **log_fields(self._catalog.as_of))
 
     def _set_role(self, *, is_reading: bool) -> None:
         if is_reading is not self._is_reading:
             self._is_reading = is_reading
             self._log.event(
                 'reads_store' if is_reading else 'reads_store_no_more',
-                as_of=self._catalog.as_of,
+                **log_fields(self._catalog.as_of),
                 members=len(self._members),
             )
             if not is_reading:
--- a/src/dandelionstage/spread/messages.py
+++ b/src/dandelionstage/spread/messages.py
@@ -24,7 +24,7 @@
 
 #: Incremented with every change of the messages; messages with another version
 #: are ignored.
-PROTOCOL: Final = 2
+PROTOCOL: Final = 3
 
 
 @final
@@ -47,7 +47,8 @@
 
     :ivar protocol: version of the protocol.
     :ivar vm: address of the sender.
-    :ivar as_of: store revision up to which the sender's catalog is complete.
+    :ivar as_of: position in the store's histories up to which the sender's
+        catalog is complete.
     :ivar has_store: whether the sender can reach the store.
     :ivar is_leaving: whether the sender is stopping.
     :ivar wants_reply: whether the receiver should send a hello in return.
@@ -76,9 +77,9 @@
 
 @final
 class PullRequest(msgspec.Struct, array_like=True):
-    """Requests all items that changed after a store revision.
+    """Requests all items that changed after a position of the store.
 
-    :ivar since: the store revision.
+    :ivar since: the position.
     """
 
     protocol: int
@@ -87,18 +88,24 @@
 
 @final
 class StoredItem(msgspec.Struct, array_like=True):
-    """Item of the store; ``raw`` is ``None`` if it was removed."""
+    """Item of the store.
+
+    :ivar raw: value, ``None`` if it was removed.
+    :ivar is_older: whether the sender knows that the store lists it from a
+        copy that is older than the last entry of its server.
+    """
 
     key: str
     revision: int
     raw: bytes | None
+    is_older: bool = False
 
 
 @final
 class PullReply(msgspec.Struct, array_like=True):
     """Reply to a pull request.
 
-    :ivar as_of: store revision up to which the items are complete.
+    :ivar as_of: position of the store up to which the items are complete.
     :ivar is_full: whether the items are all that exist, because the sender
         does not remember every removal since the requested revision.
     """
--- a/src/dandelionstage/spread/pulls.py
+++ b/src/dandelionstage/spread/pulls.py
@@ -10,7 +10,7 @@
 import msgspec
 
 from ..catalog.catalog import Catalog, CatalogItem
-from ..catalog.servers import StoreRevision
+from ..catalog.positions import StoreRevision, log_fields
 from ..lifecycle.resource_owner import ResourceOwner
 from ..operations.events import EventLog
 from .frames import FrameError, host_and_port, read_frame, write_frame
@@ -144,7 +144,9 @@
     def _apply(self, peer: Address, reply: PullReply) -> None:
         as_of = StoreRevision(reply.as_of)
         items = [
-            CatalogItem(each.key, StoreRevision(each.revision), each.raw)
+            CatalogItem(
+                each.key, StoreRevision(each.revision), each.raw, each.is_older
+            )
             for each in reply.items
         ]
         if reply.is_full and as_of >= self._catalog.as_of:
@@ -157,7 +159,7 @@
         self._log.event(
             'catalog_pulled',
             peer=peer,
-            as_of=reply.as_of,
+            **log_fields(as_of),
             changed=changed,
             routes_version=routes.version if routes else None,
         )
@@ -223,7 +225,7 @@
     is_full = not catalog.remembers_removals_since(since)
     items = catalog.items_since(StoreRevision(0) if is_full else since)
     stored = [
-        StoredItem(each.key, each.revision, each.raw)
+        StoredItem(each.key, each.revision, each.raw, each.is_older)
         for each in items
         if each.raw is not None or not is_full
     ]
--- a/tests/test_catalog_pulls.py
+++ b/tests/test_catalog_pulls.py
@@ -3,11 +3,11 @@
 import pytest
 
 from dandelionstage.catalog.catalog import Catalog, CatalogItem, Change
+from dandelionstage.catalog.positions import StoreRevision
 from dandelionstage.catalog.servers import (
     ServerId,
     ServerRecord,
     ServerState,
-    StoreRevision,
 )
 from dandelionstage.gateway.clock import now_ms
 from dandelionstage.operations.events import EventLog
