A VM that enters a later era sends whole catalogs to VMs of earlier ones (CONFIG)

Seen in a replay of random restores, not by callers: a VM kept using servers of a history that was gone. It had known more of the old history than the VM that it pulled from, which sent only what had changed and did not know those servers.

Cause: a VM that reads the new history knows which of its own entries are gone, not which of others'. Change: entering a later era, a VM no longer claims to remember removals before it, so VMs behind get all items and drop the others.

--- a/src/dandelionstage/catalog/catalog.py
+++ b/src/dandelionstage/catalog/catalog.py
@@ -161,10 +161,13 @@
 
         :param as_of: a position of the store.
         """
-        is_later = era_of(as_of) > self._era
-        if is_later:
-            self._era = era_of(as_of)
-        if is_later and self.as_of:
+        if era_of(as_of) <= self._era:
+            return
+        self._era = era_of(as_of)
+        # A VM that knows more of the old history than this one may know
+        # servers of it that the new one lacks.
+        self._removals_since = as_of
+        if self.as_of:
             for on_restored in self.on_restored:
                 on_restored(as_of)
 
