A VM that read all items does not claim to know removals between its reads

Cause: a VM that lost the store's history reads all items, and removes those of its own that are missing. A server that came and left in between it never knew, yet it told others that it remembered every removal, so a VM that had seen the server come got only changes, without the removal.

Change: after reading or receiving all items, a VM remembers removals only from there on; VMs behind get all items.

--- a/src/dandelionstage/catalog/catalog.py
+++ b/src/dandelionstage/catalog/catalog.py
@@ -171,6 +171,14 @@
             for on_restored in self.on_restored:
                 on_restored(as_of)
 
+    def note_complete_read(self, as_of: StoreRevision) -> None:
+        """Record that all items were read instead of their changes.
+
+        Items that came and went between are unknown to this VM, so it does
+        not remember their removals.
+        """
+        self._removals_since = max(self._removals_since, as_of)
+
     def keys_missing_from(self, keys: Iterable[str]) -> list[str]:
         """List the known keys that a complete read of the store lacks.
 
--- a/src/dandelionstage/platform/store_reader.py
+++ b/src/dandelionstage/platform/store_reader.py
@@ -163,6 +163,7 @@
                 item.key for item in items
             )
             items += [CatalogItem(key, as_of, None) for key in missing]
+            self._catalog.note_complete_read(as_of)
         self._log.event('store_read', items=len(items), **log_fields(as_of))
         self._apply(items, as_of)
 
--- a/src/dandelionstage/spread/pulls.py
+++ b/src/dandelionstage/spread/pulls.py
@@ -154,6 +154,7 @@
                 item.key for item in items
             )
             items += [CatalogItem(key, as_of, None) for key in missing]
+            self._catalog.note_complete_read(as_of)
         changed = self._catalog.apply(items, as_of)
         routes = self._catalog.routes
         self._log.event(
--- a/tests/test_catalog_pulls.py
+++ b/tests/test_catalog_pulls.py
@@ -88,6 +88,22 @@
     assert cut_off.servers == ['i-1', 'i-3', 'i-4']
 
 
+def test_server_that_left_while_a_vm_lacked_the_history_is_removed_elsewhere():
+    """Regression: a VM that read all items claimed to know every removal.
+
+    The server came and left between its reads; another VM had seen it come.
+    """
+    reader = Vm()
+    reader.read(*OLD)
+    witness = Vm()
+    witness.read(*OLD)
+    witness.read(('i-9', 40, b'x'))
+    reader.catalog.note_complete_read(StoreRevision(60))
+    reader.read(('i-4', 60, b'x'))
+    witness.pull(reader)
+    assert witness.servers == ['i-1', 'i-2', 'i-3', 'i-4']
+
+
 def test_removal_is_passed_on_by_a_vm_that_saw_it():
     witness = Vm()
     witness.read(*OLD)
--- a/tests/test_positions.py
+++ b/tests/test_positions.py
@@ -201,6 +201,7 @@
             CatalogItem(key, self.as_of, None)
             for key in catalog.keys_missing_from(self.items)
         ]
+        catalog.note_complete_read(self.as_of)
         catalog.apply(items, self.as_of)
 
 
