Entries that other VMs know to be older: used by none, or passed on to all (CONFIG)

A VM that had missed that a server left, or knew less of it than the VM that passed on its older entry, went on using or used it again; and an accepted older entry was still marked as older when passed on, so VMs that started later waited for it once more.

Change: a marked entry overrides what a VM knows of the server, unless that is newer; an accepted entry loses its mark. Three tests in test_positions cover it; test_entry_that_was_accepted and one case of test_vm_that_missed_a_removal fail on the code before.

--- a/src/dandelionstage/catalog/catalog.py
+++ b/src/dandelionstage/catalog/catalog.py
@@ -223,6 +223,8 @@
         known = self._items.get(item.key)
         if item.raw is None:
             self._remove_item(item)
+        elif item.is_older:
+            self._apply_older(item)
         elif known is not None and known.raw == item.raw:
             # The store was restored, and gave the entry another revision.
             self._older.pop(item.key, None)
@@ -232,20 +234,36 @@
 
     def _apply_entry(self, item: CatalogItem) -> None:
         change = self._interpret(item)
-        if item.is_older and item.key not in self._items:
-            # This VM may not know what the other one knows.
-            self._removed.setdefault(
-                item.key, _Removal(StoreRevision(0), change.server)
-            )
         if self._is_older(item, change):
             self._older[item.key] = item
         else:
             self._use_item(item, change)
 
+    def _apply_older(self, item: CatalogItem) -> None:
+        """Apply an entry that is older than what another VM knows.
+
+        The other VM knows that the server has left, or has written since.
+        """
+        change = self._interpret(item)
+        record = change.server
+        if record is None:
+            return
+        known = self._items.get(item.key)
+        last = self._last_record(item.key, record.server)
+        if known and last and not last.is_newer_than(record):
+            self._remove_item(CatalogItem(item.key, known.revision, None))
+        is_in_use = item.key in self._items
+        if not is_in_use and (last is None or record.is_newer_than(last)):
+            self._removed[item.key] = _Removal(
+                self.revision_of(item.key), record
+            )
+        self._apply_entry(item)
+
     def _use_item(self, item: CatalogItem, change: Change) -> None:
         self._older.pop(item.key, None)
         self._removed.pop(item.key, None)
-        self._items[item.key] = item
+        # It counts from now on, so other VMs use it as well.
+        self._items[item.key] = replace(item, is_older=False)
         self._apply_change(change)
 
     def _remove_item(self, item: CatalogItem) -> None:
--- a/tests/test_positions.py
+++ b/tests/test_positions.py
@@ -127,6 +127,32 @@
     assert not catalog.older_entries()
 
 
+def test_entry_that_was_accepted_is_passed_on_as_any_other():
+    catalog = catalog_of(('i-1', 1, 5, b'1.3'))
+    apply(catalog, ('i-1', 1, 6, None))
+    apply(catalog, ('i-1', 2, 5, b'1.3'))
+    late = catalog_of(('routes', 0, 1, b'1'))
+    late.apply(catalog.items_since(position(0, 1)), catalog.as_of)
+    assert 'i-1' not in late.servers
+    for vm in (catalog, late):
+        for entry in vm.older_entries():
+            vm.accept_older(entry)
+        assert 'i-1' in vm.servers
+        items = vm.items_since(position(0, 1))
+        assert not any(item.is_older for item in items)
+
+
+@pytest.mark.parametrize('known', [b'1.3', b'1.2'])
+def test_vm_that_missed_a_removal_learns_of_it_with_the_older_entry(known):
+    """Guards against a server that left and comes back with a copy."""
+    catalog = catalog_of(('i-1', 1, 5, b'1.3'))
+    apply(catalog, ('i-1', 1, 6, None))
+    apply(catalog, ('i-1', 2, 5, b'1.3'))
+    behind = catalog_of(('i-1', 1, 4, known))
+    behind.apply(catalog.items_since(position(1, 4)), catalog.as_of)
+    assert 'i-1' not in behind.servers
+
+
 def test_draining_server_takes_no_new_work_after_a_restore():
     catalog = catalog_of(('i-1', 1, 5, b'1.3'))
     apply(catalog, ('i-1', 1, 6, b'1.4d'))
