A limit is read whatever its number of digits (LIMIT)

Found while reading the change; no caller has seen it.

Change: any decimal number is read; a header that is none neither sets nor ends a limit. The tests are in test_gateway_connections.

--- a/src/dandelionstage/gateway/attempt.py
+++ b/src/dandelionstage/gateway/attempt.py
@@ -47,7 +47,8 @@
     :ivar is_encoded: whether the body has a content encoding, so that its
         bytes are not the original ones of the server.
     :ivar limit_per_s: requests a second that the server takes from all VMs
-        together, ``None`` if it names no limit.
+        together, ``None`` if it names no limit, not a number if the limit
+        cannot be read.
     """
 
     status: int
--- a/src/dandelionstage/gateway/reply_reader.py
+++ b/src/dandelionstage/gateway/reply_reader.py
@@ -1,5 +1,6 @@
 """Incremental parser of HTTP replies that accepts complete replies only."""
 
+import math
 import re
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -20,7 +21,7 @@
 
 _BODILESS_STATUSES: Final = frozenset((204, 304))
 _FIRST_FINAL_STATUS: Final = 200
-_DECIMAL: Final = re.compile(rb'\d{1,9}(\.\d{0,9})?')
+_DECIMAL: Final = re.compile(rb'\d{1,9}(\.\d{0,40})?|\.\d{1,40}')
 _TIMEOUT_PARAMETER: Final = b'timeout='
 _MS_PER_S: Final = 1000
 #: Limits on the heads of one reply, its interim ones included.
@@ -265,7 +266,10 @@
 
 
 def _read_rate(header: bytes | None) -> float | None:
-    """Read a decimal rate; ``None`` if there is none or it is not a rate."""
-    if header is None or not _DECIMAL.fullmatch(header.strip()):
+    """Read a decimal rate, ``None`` if there is none.
+
+    :returns: not a number if the header is not a rate.
+    """
+    if header is None:
         return None
-    return float(header)
+    return float(header) if _DECIMAL.fullmatch(header.strip()) else math.nan
--- a/src/dandelionstage/placing/server_limits.py
+++ b/src/dandelionstage/placing/server_limits.py
@@ -5,6 +5,7 @@
 of its replies, so the VMs pass on what they read.
 """
 
+import math
 from collections import OrderedDict
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
@@ -84,7 +85,12 @@
     def observe_limit(
         self, record: ServerRecord, per_s: float, now_ms: float
     ) -> None:
-        """Record a limit that a reply of the server names."""
+        """Record a limit that a reply of the server names.
+
+        One that is not a number neither sets nor ends a limit.
+        """
+        if math.isnan(per_s):
+            return
         start = (record.server, record.started_ms)
         self._record(start, max(_MIN_PER_S, per_s), now_ms, now_ms)
 
--- a/tests/test_gateway_connections.py
+++ b/tests/test_gateway_connections.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+import math
 
 import pytest
 from hypothesis import given
@@ -22,8 +23,10 @@
     ConnectionState,
     ServerConnection,
 )
+from dandelionstage.placing.server_limits import ServerLimits
 
 from .gateway_harness import HEADER_NAMES, gather_route, make_request
+from .test_permit_exchange import RECORD
 
 BODY = bytes(range(200))
 
@@ -94,6 +97,38 @@
     assert connection.state is ConnectionState.IDLE
 
 
+@pytest.mark.parametrize(
+    ('header', 'limit_per_s'),
+    [
+        (b'', None),
+        (b'X-Limit: 10.8\r\n', 10.8),
+        (b'X-Limit:  7.8999999999999995 \r\n', 7.8999999999999995),
+        (b'X-Limit: 12\r\n', 12),
+        (b'X-Limit: .5\r\n', 0.5),
+    ],
+)
+def test_limit_on_requests_is_read(header, limit_per_s):
+    connection, _, _ = open_server_connection()
+    outcomes = send_attempt(connection)
+    connection.data_received(reply_bytes(extra=header))
+    assert outcomes[0].limit_per_s == limit_per_s
+
+
+@pytest.mark.parametrize('header', [b'many', b'-1', b'1e9', b'inf', b'9' * 400])
+def test_unreadable_limit_neither_sets_nor_ends_a_limit(header):
+    connection, _, _ = open_server_connection()
+    outcomes = send_attempt(connection)
+    line = b'X-Limit: %b\r\n' % header
+    connection.data_received(reply_bytes(extra=line))
+    assert math.isnan(outcomes[0].limit_per_s)
+    limits = ServerLimits()
+    limits.observe_limit(RECORD, outcomes[0].limit_per_s, 10)
+    assert not limits.per_s(RECORD)
+    limits.observe_limit(RECORD, 5, 20)
+    limits.observe_limit(RECORD, outcomes[0].limit_per_s, 30)
+    assert limits.per_s(RECORD) == 5
+
+
 def test_foreign_reply_is_skipped_and_closes_the_connection():
     """Guards against answering a request with the reply to another."""
     connection, transport, _ = open_server_connection()
