--- a/tests/test_server_limit.py
+++ b/tests/test_server_limit.py
@@ -79,3 +79,37 @@
             assert not any(limit.per_s for limit in limits)
 
     asyncio.run(scenario())
+
+
+@pytest.mark.parametrize('vms', [1, 3])
+def test_limit_of_a_server_is_used(tmp_path, vms):
+    """Guards against a server that is avoided instead of limited."""
+
+    async def scenario():
+        async with running(tmp_path, 30 + vms, vms=vms) as (platform, nodes):
+            limited = platform.servers['i-1']
+            limited.limit_per_s = LIMIT_PER_S
+            end_ms = now_ms() + SETTLING_MS + WINDOW_MS
+            await send_queries(nodes, end_ms, 0.02)
+            assert limited.arrivals >= LIMIT_PER_S * WINDOW_MS / 1000
+
+    asyncio.run(scenario())
+
+
+def test_server_gets_its_share_again_after_its_limit_ended(tmp_path):
+    """Two equal servers share the queries about equally."""
+
+    async def scenario():
+        async with running(tmp_path, 35, vms=2) as (platform, nodes):
+            server = platform.servers['i-1']
+            other = platform.servers['i-2']
+            server.limit_per_s = LIMIT_PER_S
+            await send_queries(nodes, now_ms() + 1500, 0.02)
+            server.limit_per_s = None
+            await send_queries(nodes, now_ms() + 2000, 0.02)
+            before, other_before = server.arrivals, other.arrivals
+            await send_queries(nodes, now_ms() + 1500, 0.02)
+            arrived = server.arrivals - before
+            assert arrived >= (other.arrivals - other_before) / 2
+
+    asyncio.run(scenario())
