Log which request a server had when its connection broke, and why

The logs could not tell repeats by callers, own retries and hedges, and ends by load apart: they showed neither what a request asks for nor why it was sent.

Change: `attempt_broken` has a digest of what stays the same when a caller repeats a request (method, host, target, credentials, body) and the purpose of the attempt. `limited_attempt` shows the purpose too, instead of only whether it is an extra attempt. Nothing is decided differently.

--- a/src/dandelionstage/gateway/attempt.py
+++ b/src/dandelionstage/gateway/attempt.py
@@ -7,12 +7,30 @@
 
 from ..catalog.servers import ServerId
 
-__all__ = ('Attempt', 'BuildRequest', 'NoReply', 'Outcome', 'Reply')
+__all__ = (
+    'Attempt',
+    'AttemptPurpose',
+    'BuildRequest',
+    'NoReply',
+    'Outcome',
+    'Reply',
+)
 
 #: Builds the bytes of a request from the time left to the caller in ms.
 BuildRequest = Callable[[float], bytes]
 
 
+@unique
+class AttemptPurpose(Enum):
+    """Reasons for which a request is sent to a server."""
+
+    FIRST = 'first'
+    RETRY = 'retry'
+    HEDGE = 'hedge'
+    #: Repeated after the target time.
+    LATE_RETRY = 'late_retry'
+
+
 @unique
 class NoReply(Enum):
     """Reasons why an attempt ended without a usable reply."""
@@ -71,7 +89,7 @@
     It ends with an outcome or by being abandoned.  All times are read from the
     monotonic clock.
 
-    :ivar is_extra: whether it is not the first one of its request or shard.
+    :ivar purpose: reason for which it is made.
     :ivar deadline_ms: time at which the server must stop working on it.
     :ivar started_ms: time at which it was submitted.
     :ivar sent_ms: time at which it was sent, ``None`` before that.
@@ -82,8 +100,8 @@
         'build_request',
         'deadline_ms',
         'ended',
-        'is_extra',
         'on_end',
+        'purpose',
         'request_id',
         'sent_ms',
         'server',
@@ -107,7 +125,7 @@
         self.request_id = request_id
         self.build_request = build_request
         self.on_end = on_end
-        self.is_extra = False
+        self.purpose = AttemptPurpose.FIRST
         self.deadline_ms: float = 0
         self.started_ms: float = 0
         self.sent_ms: float | None = None
--- a/src/dandelionstage/gateway/requests.py
+++ b/src/dandelionstage/gateway/requests.py
@@ -3,15 +3,17 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from http import HTTPStatus
-from typing import Final, final
+from typing import Final, NewType, final
 
 import msgspec
+import xxhash
 
 from .reply_reader import HeaderNames
 
 __all__ = (
     'Answer',
     'CallerRequest',
+    'RequestDigest',
     'Headers',
     'end_to_end_headers',
     'error_answer',
@@ -20,6 +22,9 @@
 
 Headers = tuple[tuple[bytes, bytes], ...]
 
+#: Identifies what a request asks for, however often it is sent.
+RequestDigest = NewType('RequestDigest', bytes)
+
 #: Headers that apply to a single connection (RFC 9110, section 7.6.1), and
 #: headers that state how a body is framed on it.
 _HOP_BY_HOP: Final = frozenset(
@@ -37,6 +42,8 @@
         b'upgrade',
     ),
 )
+#: Headers that say on whose behalf a request is sent.
+_CALLER_HEADERS: Final = frozenset((b'authorization', b'cookie'))
 _MS_PER_S: Final = 1000
 _JSON_HEADER: Final = (b'content-type', b'application/json')
 
@@ -79,6 +86,29 @@
         """The target without its query string."""
         return self.target.partition(b'?')[0].decode('latin-1')
 
+    @property
+    def digest(self) -> RequestDigest:
+        """Digest of what stays the same when a caller repeats the request.
+
+        The id and the deadline of a repeated request are new, and it may
+        arrive from another address.
+        """
+        digest = xxhash.xxh3_128()
+        identity = (
+            content for name, content in self.headers if name in _CALLER_HEADERS
+        )
+        for field_bytes in (
+            self.method,
+            self.host.encode('latin-1'),
+            self.target,
+            *identity,
+            self.body,
+        ):
+            # The length keeps the boundaries of the fields apart.
+            digest.update(b'%d:' % len(field_bytes))
+            digest.update(field_bytes)
+        return RequestDigest(digest.digest())
+
     @property
     def log_id(self) -> str:
         """The request id as text, for log lines."""
--- a/src/dandelionstage/gateway/run_helpers.py
+++ b/src/dandelionstage/gateway/run_helpers.py
@@ -6,7 +6,7 @@
 from ..catalog.routes import Route, ServiceId
 from ..catalog.servers import ServerId
 from ..placing.replicas import Replica
-from .attempt import Attempt, Outcome
+from .attempt import Attempt, AttemptPurpose, NoReply, Outcome
 from .outcomes import OutcomeRecorder, outcome_label
 from .requests import Answer, CallerRequest, request_head
 from .run_context import Pool, RunContext, Timer
@@ -65,7 +65,7 @@
 
 
 @final
-class AttemptSender:
+class AttemptSender:  # noqa: WPS214 -- short methods
     """Sends attempts of one request to servers.
 
     :ivar recorder: updates the estimates of servers from the outcomes.
@@ -90,14 +90,14 @@
         on_end: Callable[[Attempt, Outcome], None],
         deadline_ms: float,
         *,
-        is_extra: bool,
+        purpose: AttemptPurpose,
     ) -> Attempt:
         """Submit an attempt to the connection pool of a replica.
 
         :param on_end: called with the attempt and its outcome.
         :param deadline_ms: time at which the server must stop working on
             the request.
-        :param is_extra: whether it is not the first attempt.
+        :param purpose: reason for which the attempt is made.
         """
         server = replica.record.server
         attempt = Attempt(
@@ -107,7 +107,7 @@
             on_end,
         )
         attempt.deadline_ms = deadline_ms
-        attempt.is_extra = is_extra
+        attempt.purpose = purpose
         limit_per_s = self._context.limits.per_s(replica.record)
         if limit_per_s:
             self._log_limited(attempt, replica, limit_per_s)
@@ -129,16 +129,17 @@
         else:
             replica.pool.abandon(attempt)
 
-    def take_extra(self, service: ServiceId, purpose: str) -> bool:
+    def take_extra(self, service: ServiceId, purpose: AttemptPurpose) -> bool:
         """Take an extra attempt from the budget of a service, and log it.
 
-        :param purpose: kind of the log event if the budget allows it.
+        :param purpose: reason for the attempt; the kind of the log event if
+            the budget allows it.
         :returns: whether the budget allows the attempt.
         """
         now_ms = self._context.now_ms()
         is_taken = self._context.budgets.try_spend(service, now_ms)
         self._context.log.event(
-            purpose if is_taken else 'budget_spent',
+            purpose.value if is_taken else 'budget_spent',
             request=self._request.log_id,
             route=self._route.name,
             service=service,
@@ -168,6 +169,24 @@
             **more,
             waited_ms=round(self._context.now_ms() - attempt.started_ms, 1),
         )
+        if outcome is NoReply.BROKEN:
+            self._log_broken(service, attempt)
+
+    def _log_broken(self, service: ServiceId, attempt: Attempt) -> None:
+        """Log which request a server had when its connection broke.
+
+        A kind of its own, as a server that is down fails many more attempts
+        than it has broken.
+        """
+        self._context.log.event(
+            'attempt_broken',
+            request=self._request.log_id,
+            digest=self._request.digest.hex(),
+            service=service,
+            server=attempt.server,
+            purpose=attempt.purpose.value,
+            sent=attempt.sent_ms is not None,
+        )
 
     def _log_limited(
         self, attempt: Attempt, replica: Replica[Pool], limit_per_s: float
@@ -179,7 +198,7 @@
             service=replica.record.service,
             server=attempt.server,
             limit_per_s=limit_per_s,
-            is_extra=attempt.is_extra,
+            purpose=attempt.purpose.value,
         )
 
     def _build_request(self, server: ServerId, left_ms: float) -> bytes:
--- a/src/dandelionstage/gateway/shard_attempts.py
+++ b/src/dandelionstage/gateway/shard_attempts.py
@@ -7,7 +7,7 @@
 from ..catalog.servers import ServerId
 from ..placing.replicas import Replica
 from ..placing.shard_choice import should_skip
-from .attempt import Attempt, Outcome, Reply
+from .attempt import Attempt, AttemptPurpose, Outcome, Reply
 from .outcomes import is_success
 from .request_schedule import RequestSchedule
 from .requests import CallerRequest
@@ -139,7 +139,9 @@
         services = route.gather.shards if route.gather else ()
         self.all = [ShardAttempts(service) for service in services]
 
-    def send_attempt(self, shard: ShardAttempts) -> bool:
+    def send_attempt(
+        self, shard: ShardAttempts, purpose: AttemptPurpose
+    ) -> bool:
         """Send an attempt to a server of a shard, preferably an untried one.
 
         :returns: whether there was a server to send to.
@@ -147,14 +149,13 @@
         replica = self._choose(shard)
         if replica is None:
             return False
-        is_extra = bool(shard.tried)
         if replica.record.server not in shard.tried:
             shard.tried.append(replica.record.server)
         attempt = self._sender.send(
             replica,
             lambda ended, outcome: self._end(shard, ended, outcome),
             self._deadline_ms(replica),
-            is_extra=is_extra,
+            purpose=purpose,
         )
         self._add_pending(shard, attempt)
         return True
@@ -164,7 +165,7 @@
         self._context.budgets.count_request(
             shard.service, self._context.now_ms()
         )
-        if not self.send_attempt(shard):
+        if not self.send_attempt(shard, AttemptPurpose.FIRST):
             self.log_left_out(shard)
 
     def create_relayed_attempt(self, shard: ShardAttempts) -> Attempt:
@@ -204,10 +205,11 @@
         if replica is not None and not self._has_late_room(replica, now_ms):
             # First attempts of other queries can still be in time.
             return bool(shard.pending)
-        if not self._sender.take_extra(shard.service, 'late_retry'):
+        late_retry = AttemptPurpose.LATE_RETRY
+        if not self._sender.take_extra(shard.service, late_retry):
             return bool(shard.pending)
         self._abandon_pending(shard)
-        return self.send_attempt(shard)
+        return self.send_attempt(shard, late_retry)
 
     def release(self, *, is_slow: bool) -> None:
         """Drop all pending attempts.
@@ -343,8 +345,9 @@
             return
         # An attempt that was never sent put no load on a server.
         costs_nothing = attempt.sent_ms is None
-        if costs_nothing or self._sender.take_extra(shard.service, 'retry'):
-            if self.send_attempt(shard):
+        retry = AttemptPurpose.RETRY
+        if costs_nothing or self._sender.take_extra(shard.service, retry):
+            if self.send_attempt(shard, retry):
                 return
         self.log_left_out(shard)
 
@@ -384,10 +387,12 @@
         if shard.pending[0].sent_ms is None:
             # Nothing was sent, so another server is not an extra attempt.
             self._abandon_pending(shard)
-            self.send_attempt(shard)
+            self.send_attempt(shard, AttemptPurpose.FIRST)
             return
         # A server with a higher cost would not reply sooner.
         first_cost = first.cost(now_ms) if first else _INFINITE
         is_better = other.cost(now_ms) <= first_cost
-        if is_better and self._sender.take_extra(shard.service, 'hedge'):
-            self.send_attempt(shard)
+        if is_better and self._sender.take_extra(
+            shard.service, AttemptPurpose.HEDGE
+        ):
+            self.send_attempt(shard, AttemptPurpose.HEDGE)
--- a/src/dandelionstage/gateway/single_run.py
+++ b/src/dandelionstage/gateway/single_run.py
@@ -7,7 +7,7 @@
 from ..catalog.routes import RepeatPolicy, Route, ServiceId
 from ..catalog.servers import ServerId
 from ..placing.replicas import Replica
-from .attempt import Attempt, Outcome, Reply
+from .attempt import Attempt, AttemptPurpose, Outcome, Reply
 from .outcomes import is_misdirected, is_success
 from .request_schedule import RequestSchedule
 from .requests import Answer, CallerRequest, end_to_end_headers, error_answer
@@ -64,7 +64,7 @@
         )
         hedge_at_ms = self._request.arrived_ms + self._schedule.hedge_delay_ms
         self._timer.call_at(hedge_at_ms, self._hedge)
-        if not self._send_attempt():
+        if not self._send_attempt(AttemptPurpose.FIRST):
             self._refuse('no server of the service is known or takes more')
 
     def cancel(self) -> None:
@@ -88,14 +88,13 @@
             # The server stops working then; what it still sends is no answer.
             self._timer.call_at(self._schedule.deadline_ms, self._drop_pending)
 
-    def _send_attempt(self) -> bool:
+    def _send_attempt(self, purpose: AttemptPurpose) -> bool:
         replica = self._choose()
         if replica is None:
             return False
-        is_extra = bool(self._tried)
         self._tried.append(replica.record.server)
         attempt = self._sender.send(
-            replica, self._end, self._schedule.deadline_ms, is_extra=is_extra
+            replica, self._end, self._schedule.deadline_ms, purpose=purpose
         )
         if not attempt.ended:
             self._pending.append(attempt)
@@ -129,7 +128,7 @@
         if self._pending:
             return
         if self._may_repeat(attempt, outcome):
-            self._send_attempt()
+            self._send_attempt(AttemptPurpose.RETRY)
             return
         if isinstance(outcome, Reply) and outcome.ran and _is_final(outcome):
             self._forward_reply(outcome)
@@ -154,7 +153,9 @@
         # An attempt that was never sent or that reached a wrong server put
         # no load on the service.
         costs_nothing = attempt.sent_ms is None or is_misdirected(outcome)
-        return costs_nothing or self._sender.take_extra(self._service, 'retry')
+        return costs_nothing or self._sender.take_extra(
+            self._service, AttemptPurpose.RETRY
+        )
 
     def _hedge(self) -> None:
         """Send a second attempt if the first is slow and a hedge is allowed."""
@@ -164,8 +165,9 @@
             and len(self._tried) < self._route.attempts
             and self._choose() is not None
         )
-        if may_hedge and self._sender.take_extra(self._service, 'hedge'):
-            self._send_attempt()
+        hedge = AttemptPurpose.HEDGE
+        if may_hedge and self._sender.take_extra(self._service, hedge):
+            self._send_attempt(hedge)
         self._recheck_slow()
 
     def _recheck_slow(self) -> None:
