--- a/tools/standins/platform/http_port.py
+++ b/tools/standins/platform/http_port.py
@@ -45,6 +45,25 @@
         self._host = host
         self._port = port
         self._serve = serve
+        self._server: asyncio.Server | None = None
+
+    @property
+    def is_listening(self) -> bool:
+        """Whether connections are accepted."""
+        return self._server is not None
+
+    async def listen(self) -> None:
+        """Accept connections."""
+        self._server = await asyncio.get_running_loop().create_server(
+            lambda: _Link(self._serve, self), self._host, self._port
+        )
+
+    def end(self) -> None:
+        """Accept no connections and reset those that are open."""
+        if self._server is not None:
+            self._server.close()
+            self._server = None
+        self.cut_all()
 
     def cut_all(self) -> None:
         """Reset every connection."""
@@ -52,11 +71,8 @@
             link.abort()
 
     async def _open(self, stack: AsyncExitStack) -> None:
-        server = await asyncio.get_running_loop().create_server(
-            lambda: _Link(self._serve, self), self._host, self._port
-        )
-        stack.callback(self.cut_all)
-        stack.callback(server.close)
+        await self.listen()
+        stack.callback(self.end)
 
 
 @final
--- a/tools/standins/platform/server.py
+++ b/tools/standins/platform/server.py
@@ -57,6 +57,10 @@
     :ivar mode: how requests are treated; may be changed at any time.
     :ivar work_ms: time that one request takes.
     :ivar limit_per_s: rate of requests that its answers name, if any.
+    :ivar deadly_target: target of the request that ends the server when it has
+        worked on it, if any.
+    :ivar down_s: how long the server is down after that.
+    :ivar ended_ms: when it ended.
     :ivar runs: every request that it began.
     :ivar arrived: when requests came, and their ids; refused ones too.
     :ivar at_work: requests that it works on now.
@@ -67,6 +71,10 @@
         self.mode = ServerMode.WELL
         self.work_ms: float = 1
         self.limit_per_s: float | None = None
+        self.deadly_target: str | None = None
+        self.down_s: float = 1
+        self.ended_ms: list[float] = []
+        self._restart: asyncio.Task[None] | None = None
         self.server = server
         self.runs: list[Run] = []
         self.arrived: list[tuple[float, str]] = []
@@ -97,8 +105,26 @@
         """Requests received, refused ones too."""
         return len(self.arrived)
 
+    def end(self) -> None:
+        """End like a process that is killed, and start again later."""
+        if not self.port.is_listening:
+            return
+        self.ended_ms.append(now_ms())
+        self.port.end()
+        restart = self._start_again()
+        self._restart = asyncio.get_running_loop().create_task(restart)
+
     async def _open(self, stack: AsyncExitStack) -> None:
         await stack.enter_async_context(self.port)
+        stack.callback(self._cancel_restart)
+
+    async def _start_again(self) -> None:
+        await asyncio.sleep(self.down_s)
+        await self.port.listen()
+
+    def _cancel_restart(self) -> None:
+        if self._restart is not None:
+            self._restart.cancel()
 
     async def _serve(self, asked: Asked) -> bytes:
         request = asked.headers.get('x-request-id', '')
@@ -122,6 +148,9 @@
             if self.mode is ServerMode.MUTE:
                 await asyncio.Event().wait()
             await asyncio.sleep(min(self.work_ms, left_ms) / _MS_PER_S)
+        if asked.target == self.deadly_target:
+            self.end()
+            return b''
         if self.work_ms > left_ms:
             return _reply(
                 HTTPStatus.GATEWAY_TIMEOUT, request, stamp=self._stamp()
