--- a/src/dandelionstage/gateway/attempt.py
+++ b/src/dandelionstage/gateway/attempt.py
@@ -29,6 +29,8 @@
     HEDGE = 'hedge'
     #: Repeated after the target time.
     LATE_RETRY = 'late_retry'
+    #: Sent to one server alone, as the request may end those that run it.
+    TRIAL = 'trial'
 
 
 @unique
@@ -39,6 +41,8 @@
     CONNECT_FAILED = 'connect_failed'
     #: The connection broke before the reply was complete.
     BROKEN = 'broken'
+    #: The connection broke, and the server accepts no new ones.
+    SERVER_ENDED = 'server_ended'
     #: The bytes received are not a valid reply to this request.
     BAD_REPLY = 'bad_reply'
     #: The request was not sent: the server was taken out of use, or the relay
--- a/src/dandelionstage/gateway/gateway.py
+++ b/src/dandelionstage/gateway/gateway.py
@@ -2,18 +2,21 @@
 
 from collections.abc import Callable
 from enum import Enum, unique
+from functools import partial
 from http import HTTPStatus
 from types import MappingProxyType
 from typing import Final, final
 
 from ..catalog.catalog import Catalog
 from ..catalog.routes import Gather, Route
+from ..placing.deadly_requests import TRIAL_MS, Verdict
 from ..placing.shard_choice import (
     is_limited,
     is_unservable,
     unreachable_shards,
 )
 from .gather_run import GatherRun
+from .held_requests import HeldRequests
 from .request_schedule import (
     NetworkMargins,
     schedule_request,
@@ -22,7 +25,6 @@
 from .requests import Answer, CallerRequest, error_answer
 from .run_context import RunContext
 from .single_run import SingleRun
-from .startup_queue import StartupQueue
 
 __all__ = ('Gateway', 'RefusalReason')
 
@@ -45,6 +47,8 @@
     UNREACHABLE = 'too few shards can be reached'
     OVERLOADED = 'more queries than the servers can answer in time'
     LIMITED = 'servers of too many shards limit their requests'
+    DEADLY = 'servers end when they run this request'
+    SUSPECT = 'servers ended while they had this request'
     CUT_OFF = 'data centre is cut off from the servers of too many shards'
 
 
@@ -56,6 +60,7 @@
         RefusalReason.UNREACHABLE: _UNREACHABLE_PROBE_INTERVAL_MS,
         RefusalReason.OVERLOADED: 250.0,
         RefusalReason.LIMITED: 250.0,
+        RefusalReason.SUSPECT: TRIAL_MS,
         # Soon, as new connections then go to another data centre.
         RefusalReason.CUT_OFF: 200.0,
     },
@@ -75,7 +80,7 @@
         self._margins = margins
         self._last_probe_ms = float('-inf')
         self._served_count = 0
-        self._startup_queue = StartupQueue(context, lambda: catalog.usable)
+        self._held = HeldRequests(context)
 
     def handle(
         self,
@@ -99,24 +104,74 @@
                 )
             )
             return
+        verdict = self._verdict(request)
+        if verdict is Verdict.DEADLY:
+            send_answer(self._refuse_deadly(request))
+            return
+        if verdict is Verdict.ON_TRIAL:
+            self._wait_for_trial(request, send_answer)
+            return
         reason = self._refusal_reason(request, route)
         if reason is None:
-            self._run(request, route, send_answer)
+            self._run(
+                request,
+                route,
+                send_answer,
+                is_trial=verdict is Verdict.SUSPECT,
+            )
         else:
             send_answer(self._refuse_unavailable(request, reason))
 
+    def _verdict(self, request: CallerRequest) -> Verdict:
+        """Return what the ends of servers say of a request."""
+        deadly = self._context.deadly
+        if not len(deadly):
+            # The usual case, in which no digest is needed.
+            return Verdict.UNSUSPECTED
+        return deadly.verdict(request.digest, self._context.now_ms())
+
+    def _wait_for_trial(
+        self,
+        request: CallerRequest,
+        send_answer: Callable[[Answer], None],
+    ) -> None:
+        """Hold a request until another run of it has ended or answered."""
+        self._hold(
+            request,
+            send_answer,
+            lambda: self._verdict(request) is not Verdict.ON_TRIAL,
+            RefusalReason.SUSPECT,
+        )
+
     def _wait_for_routes(
         self,
         request: CallerRequest,
         send_answer: Callable[[Answer], None],
     ) -> None:
+        self._hold(
+            request,
+            send_answer,
+            lambda: self._catalog.usable,
+            RefusalReason.STARTING,
+        )
+
+    def _hold(
+        self,
+        request: CallerRequest,
+        send_answer: Callable[[Answer], None],
+        is_ready: Callable[[], bool],
+        reason: RefusalReason,
+    ) -> None:
+        """Hold a request until it may go on, or refuse it for a reason."""
+
         def refuse() -> None:  # noqa: WPS430 -- one request
-            send_answer(
-                self._refuse_unavailable(request, RefusalReason.STARTING)
-            )
+            send_answer(self._refuse_unavailable(request, reason))
 
-        is_held = self._startup_queue.add(
-            request, lambda: self.handle(request, send_answer), refuse
+        is_held = self._held.add(
+            request,
+            is_ready,
+            lambda: self.handle(request, send_answer),
+            refuse,
         )
         if not is_held:
             refuse()
@@ -126,6 +181,8 @@
         request: CallerRequest,
         route: Route,
         send_answer: Callable[[Answer], None],
+        *,
+        is_trial: bool,
     ) -> None:
         slow_ms = slow_threshold_ms(self._context.response_times, route.name)
         lag_ms = (
@@ -136,16 +193,21 @@
             request, route, slow_ms, self._margins, lag_ms
         )
         request.timed_route = route.name
-        run = GatherRun if route.gather else SingleRun
-        run(
-            request,
-            route,
-            schedule,
-            self._context,
-            lambda answer: self._send_answer(
-                request, route, send_answer, answer
-            ),
-        ).start()
+        send_counted = partial(self._send_answer, request, route, send_answer)
+        if route.gather is None:
+            if is_trial:
+                self._context.deadly.begin_trial(
+                    request.digest, self._context.now_ms()
+                )
+            SingleRun(
+                request, route, schedule, self._context, send_counted
+            ).start()
+            return
+        run = GatherRun(request, route, schedule, self._context, send_counted)
+        if is_trial:
+            run.start_trial()
+        else:
+            run.start()
 
     def _send_answer(
         self,
@@ -250,6 +312,17 @@
             request, HTTPStatus.SERVICE_UNAVAILABLE, reason, retry_after_ms
         )
 
+    def _refuse_deadly(self, request: CallerRequest) -> Answer:
+        """Refuse a request that is not sent to any server for some time."""
+        return self._refuse(
+            request,
+            HTTPStatus.SERVICE_UNAVAILABLE,
+            RefusalReason.DEADLY,
+            self._context.deadly.deadly_left_ms(
+                request.digest, self._context.now_ms()
+            ),
+        )
+
     def _refuse(
         self,
         request: CallerRequest,
--- a/src/dandelionstage/gateway/gather_run.py
+++ b/src/dandelionstage/gateway/gather_run.py
@@ -7,6 +7,7 @@
 from ..catalog.routes import Gather, Route
 from ..placing.shard_choice import choose_skipped_shards, unreachable_shards
 from ..retries.backoff import backoff_ms
+from .attempt import AttemptPurpose
 from .records import greatest_records
 from .relays import Relay, RelayedQuery
 from .request_schedule import RequestSchedule
@@ -17,6 +18,11 @@
 
 __all__ = ('GatherRun',)
 
+#: Number of servers that a suspect request may be sent to in vain, as they
+#: are down, before the run gives up.
+_MAX_UNSENT_TRIALS: Final = 4
+#: A caller whose request was not sent may retry once servers have restarted.
+_RETRY_AFTER_MS: Final = 1000.0
 #: Shards queried again after the target beyond those needed, as one may fail.
 _SPARE_SHARDS: Final = 1
 #: Attempt number for the first back-off after the target, which makes the
@@ -58,6 +64,8 @@
         )
         self._relayed: list[tuple[Relay, RelayedQuery]] = []
         self._repeat_rounds = 0
+        self._trials_left = _MAX_UNSENT_TRIALS
+        self._deferred: list[ShardAttempts] = []
         # An attempt may fail while the others are still being sent; no answer
         # is sent before all are.
         self._is_sending = False
@@ -87,8 +95,16 @@
         self._is_sending = False
         self._answer_if_ready()
 
+    def start_trial(self) -> None:
+        """Send the request to one server, and to the others if it answers."""
+        self._request.on_disconnect = self.cancel
+        self._deferred = list(self._shards.all)
+        self._timer.call_at(self._schedule.answer_ms, self._reach_target)
+        self._try_alone()
+
     def cancel(self) -> None:
         """Stop, as the caller has disconnected."""
+        self._shards.record_ends()
         self._answer.discard()
         self._context.log.event(
             'caller_gone',
@@ -131,6 +147,7 @@
             lambda service, tried, is_all: by_service[service].record_tried(
                 tried, is_all=is_all
             ),
+            self._shards.record_relayed_ends,
         )
         self._relayed.append((relay, query))
         relay.send_query(query)
@@ -143,7 +160,11 @@
         """Answer if enough shards have replied, else query some again."""
         self._shards.is_past_target = True
         self._answer_if_ready()
-        if self._answer.is_pending:
+        if not self._answer.is_pending:
+            return
+        if self._shards.is_suspect:
+            self._timer.call_at(self._schedule.end_ms, self._time_out)
+        else:
             self._repeat_missing()
 
     def _repeat_missing(self) -> None:
@@ -164,6 +185,8 @@
         """Answer, retry or fail if no other reply is worth waiting for."""
         if self._is_sending or not self._answer.is_pending:
             return
+        if self._deferred and not self._shards.is_suspect:
+            self._send_deferred()
         is_enough = self._shards.part_count >= self._gather.least_parts
         if is_enough and (
             self._shards.is_past_target or not self._shards.pending_shards
@@ -178,6 +201,9 @@
         The run fails if too little time is left for the back-off or too few
         shards are reachable.
         """
+        if self._shards.is_suspect:
+            self._try_alone()
+            return
         if not self._shards.is_past_target:
             self._reach_target()
             return
@@ -195,6 +221,49 @@
         else:
             self._timer.call_at(repeat_at_ms, self._repeat_missing)
 
+    def _try_alone(self) -> None:
+        """Send the request to one server to find out if it ends that too."""
+        self._shards.record_ends()
+        if self._shards.is_deadly:
+            self._give_up('servers end when they run this request')
+            return
+        has_time = self._context.now_ms() < self._schedule.end_ms
+        self._is_sending = True
+        while has_time and self._trials_left:
+            self._trials_left -= 1
+            if self._shards.send_trial() and self._shards.pending_shards:
+                break
+        self._is_sending = False
+        if not self._shards.pending_shards:
+            self._give_up('servers ended while they had this request')
+
+    def _send_deferred(self) -> None:
+        """Query the other shards, as a server has answered the trial."""
+        deferred = [each for each in self._deferred if each.part is None]
+        self._deferred = []
+        self._is_sending = True
+        for shard in deferred:
+            if shard.unreached:
+                self._shards.send_attempt(shard, AttemptPurpose.FIRST)
+            elif not shard.pending:
+                self._shards.send_first_attempt(shard)
+        self._is_sending = False
+        if not self._shards.is_past_target:
+            now_ms = self._context.now_ms()
+            self._timer.call_at(
+                now_ms + self._schedule.hedge_delay_ms, self._hedge
+            )
+
+    def _give_up(self, reason: str) -> None:
+        """Answer a request that is not sent to further servers."""
+        if self._shards.was_sent:
+            self._fail(HTTPStatus.BAD_GATEWAY, reason)
+            return
+        status = HTTPStatus.SERVICE_UNAVAILABLE
+        self._log_end('query_failed', status, reason)
+        self._answer.send(error_answer(status, reason, _RETRY_AFTER_MS))
+        self._release(is_slow=False)
+
     def _time_out(self) -> None:
         self._fail(HTTPStatus.GATEWAY_TIMEOUT, 'too few shards in time')
 
@@ -230,6 +299,7 @@
             self._context.answer_lag.observe(late_ms)
 
     def _fail(self, status: HTTPStatus, reason: str) -> None:
+        self._shards.record_ends()
         self._log_end('query_failed', status, reason)
         self._answer.send(error_answer(status, reason))
         self._release(is_slow=True)
--- a/src/dandelionstage/gateway/startup_queue.py
+++ b/src/dandelionstage/gateway/held_requests.py
@@ -1,8 +1,12 @@
-"""Requests that wait while a starting VM learns its routes.
+"""Requests that wait for a short time until it is known how to treat them.
 
-Load pattern: all VMs are killed at once and start again together.  A starting
+Load patterns: all VMs are killed at once and start again together.  A starting
 VM knows the routes after 20 to 250 ms; a caller that is refused meanwhile
 returns once, to another VM that is starting too, and gives up.
+
+Servers end under many requests at once, and callers repeat them.  Each is sent
+to one server alone, which answers within its usual time unless the request is
+deadly.
 """
 
 from collections.abc import Callable
@@ -11,7 +15,7 @@
 from .requests import CallerRequest
 from .run_context import RunContext
 
-__all__ = ('StartupQueue',)
+__all__ = ('HeldRequests',)
 
 #: A request waits at most this long, and at most this part of the time that
 #: its caller waits, so that enough time is left to serve or refuse it.
@@ -28,44 +32,44 @@
     def __init__(
         self,
         expires_ms: float,
+        is_ready: Callable[[], bool],
         resume: Callable[[], None],
         give_up: Callable[[], None],
     ) -> None:
         self.expires_ms = expires_ms
+        self.is_ready = is_ready
         self.resume = resume
         self.give_up = give_up
 
 
 @final
-class StartupQueue:
-    """Holds requests until the routes are known, in order of arrival."""
+class HeldRequests:
+    """Holds requests until each may go on, in order of arrival."""
 
-    def __init__(
-        self, context: RunContext, is_usable: Callable[[], bool]
-    ) -> None:
-        """Create an empty queue.
-
-        :param is_usable: whether requests can be served.
-        """
+    def __init__(self, context: RunContext) -> None:
+        """Create an empty queue."""
         self._context = context
-        self._is_usable = is_usable
         self._waiting: list[_WaitingRequest] = []
 
     def add(
         self,
         request: CallerRequest,
+        is_ready: Callable[[], bool],
         resume: Callable[[], None],
         give_up: Callable[[], None],
     ) -> bool:
         """Hold a request; return whether there was room for it.
 
-        :param resume: called once requests can be served.
+        :param is_ready: whether the request may go on.
+        :param resume: called once it may.
         :param give_up: called if that takes too long.
         """
         if len(self._waiting) >= _MAX_WAITING:
             return False
         wait_ms = min(_MAX_WAIT_MS, request.time_left_ms * _MAX_WAIT_FRACTION)
-        waiting = _WaitingRequest(request.arrived_ms + wait_ms, resume, give_up)
+        waiting = _WaitingRequest(
+            request.arrived_ms + wait_ms, is_ready, resume, give_up
+        )
         request.on_disconnect = lambda: self._waiting.remove(waiting)
         self._waiting.append(waiting)
         if len(self._waiting) == 1:
@@ -77,7 +81,7 @@
         waiting = self._waiting
         self._waiting = []
         for each in waiting:
-            if self._is_usable():
+            if each.is_ready():
                 each.resume()
             elif now_ms >= each.expires_ms:
                 each.give_up()
--- a/src/dandelionstage/gateway/relays.py
+++ b/src/dandelionstage/gateway/relays.py
@@ -26,6 +26,8 @@
         or the reason why there is none.
     :ivar record_tried: called with a shard, the servers of it that the relay
         has sent to, and whether the relay sends to no others.
+    :ivar record_ends: called with the shards whose servers ended while they
+        had the request of the relay.
     """
 
     request: CallerRequest
@@ -33,6 +35,7 @@
     schedule: RequestSchedule
     attempts: Mapping[ServiceId, Attempt]
     record_tried: Callable[[ServiceId, Iterable[ServerId], bool], None]
+    record_ends: Callable[[Iterable[ServiceId]], None]
 
     @property
     def is_pending(self) -> bool:
--- a/src/dandelionstage/gateway/requests.py
+++ b/src/dandelionstage/gateway/requests.py
@@ -3,17 +3,17 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from http import HTTPStatus
-from typing import Final, NewType, final
+from typing import Final, final
 
 import msgspec
 import xxhash
 
+from ..placing.server_ends import RequestDigest
 from .reply_reader import HeaderNames
 
 __all__ = (
     'Answer',
     'CallerRequest',
-    'RequestDigest',
     'Headers',
     'end_to_end_headers',
     'error_answer',
@@ -22,9 +22,6 @@
 
 Headers = tuple[tuple[bytes, bytes], ...]
 
-#: Identifies what a request asks for, however often it is sent.
-RequestDigest = NewType('RequestDigest', bytes)
-
 #: Headers that apply to a single connection (RFC 9110, section 7.6.1), and
 #: headers that state how a body is framed on it.
 _HOP_BY_HOP: Final = frozenset(
--- a/src/dandelionstage/gateway/run_context.py
+++ b/src/dandelionstage/gateway/run_context.py
@@ -8,6 +8,7 @@
 
 from ..catalog.servers import ServerId
 from ..operations.events import EventLog
+from ..placing.deadly_requests import DeadlyRequests
 from ..placing.fleet_retry_budget import FleetRetryBudgets
 from ..placing.query_admission import QueryAdmission
 from ..placing.queue_delay import BaseTimes
@@ -93,6 +94,7 @@
     :ivar call_later: schedules a call after a delay in milliseconds.
     :ivar random: random numbers for choices and delays.
     :ivar limits: limits on requests that servers have named.
+    :ivar deadly: requests under which servers ended.
     :ivar relays: VMs that query shards of large queries for this VM.
     """
 
@@ -110,6 +112,7 @@
     base_times: BaseTimes = field(default_factory=BaseTimes)
     admission: QueryAdmission = field(default_factory=QueryAdmission)
     limits: ServerLimits = field(default_factory=ServerLimits)
+    deadly: DeadlyRequests = field(default_factory=DeadlyRequests)
 
     def replica_of(self, server: ServerId) -> Replica[Pool] | None:
         """Return the replica of a server, ``None`` if it is out of use."""
--- a/src/dandelionstage/gateway/run_helpers.py
+++ b/src/dandelionstage/gateway/run_helpers.py
@@ -169,7 +169,7 @@
             **more,
             waited_ms=round(self._context.now_ms() - attempt.started_ms, 1),
         )
-        if outcome is NoReply.BROKEN:
+        if outcome in {NoReply.BROKEN, NoReply.SERVER_ENDED}:
             self._log_broken(service, attempt)
 
     def _log_broken(self, service: ServiceId, attempt: Attempt) -> None:
--- a/src/dandelionstage/gateway/server_connection.py
+++ b/src/dandelionstage/gateway/server_connection.py
@@ -36,13 +36,14 @@
     :ivar attempt: the attempt in progress, ``None`` when idle.
     """
 
-    def __init__(
+    def __init__(  # noqa: WPS211 -- one for each callback
         self,
         header_names: HeaderNames,
         on_idle_or_closed: 'Callable[[ServerConnection], None]',
         budget: ReadBudget | None = None,
         on_limit_exceeded: OnLimitExceeded | None = None,
         on_reply: 'Callable[[Attempt, Reply], None] | None' = None,
+        on_broken: 'Callable[[Attempt], None] | None' = None,
     ) -> None:
         """Create a connection that is not open yet.
 
@@ -52,12 +53,15 @@
         :param on_limit_exceeded: called if the server exceeds a limit.
         :param on_reply: called with each reply to an attempt, also if the
             attempt was abandoned, before the attempt ends.
+        :param on_broken: called, instead of ending the attempt in progress,
+            if the server closes the connection.
         """
         self.state = ConnectionState.OPENING
         self.attempt: Attempt | None = None
         self._on_idle_or_closed = on_idle_or_closed
         self._on_limit_exceeded = on_limit_exceeded
         self._on_reply = on_reply
+        self._on_broken = on_broken
         self._reader = ReplyReader(
             header_names, self._receive, budget, self._fail_as_bad_reply
         )
@@ -123,10 +127,18 @@
             self._reader.feed_eof()
         if self._got_reply:
             self.attempt = None
-        self.close()
+        self._close_as_broken()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """End the attempt in progress as broken."""
+        self._close_as_broken()
+
+    def _close_as_broken(self) -> None:
+        """Close, as the server has; report the attempt in progress."""
+        attempt = self.attempt
+        if self._on_broken is not None and attempt is not None:
+            self.attempt = None
+            self._on_broken(attempt)
         self.close()
 
     def _receive(self, request_id: bytes, reply: Reply) -> None:
--- a/src/dandelionstage/gateway/server_pool.py
+++ b/src/dandelionstage/gateway/server_pool.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
 from dataclasses import dataclass
 from typing import Final, final
 
@@ -23,6 +23,9 @@
 #: can be reused instead of being closed.
 _ABANDON_GRACE_MS: Final = 300.0
 _MS_PER_S: Final = 1000.0
+#: A server in this region accepts or refuses a connection within this time; one
+#: that does neither has not just ended.
+_CHECK_TIMEOUT_S: Final = 0.1
 #: Attempts with less time left than this are not sent.
 _MIN_TIME_LEFT_MS: Final = 1.0
 
@@ -77,6 +80,7 @@
         self._waiting: deque[Attempt] = deque()
         self._opening: set[asyncio.Task[None]] = set()
         self._is_closed = False
+        self._broken: list[Attempt] = []
 
     @property
     def load(self) -> int:
@@ -193,18 +197,56 @@
             connection.close()
 
     def _open(self) -> None:
+        connection = self._add_connection()
+        self._start(self._connect(connection))
+
+    def _add_connection(self) -> ServerConnection:
         connection = ServerConnection(
             self._header_names,
             self._on_idle_or_closed,
             self._budget,
             self._callbacks.on_limit_exceeded,
             self._callbacks.on_reply,
+            self._handle_broken,
         )
         self._connections.add(connection)
-        task = asyncio.get_running_loop().create_task(self._connect(connection))
+        return connection
+
+    def _start(self, opening: Coroutine[None, None, None]) -> None:
+        task = asyncio.get_running_loop().create_task(opening)
         self._opening.add(task)
         task.add_done_callback(self._opening.discard)
 
+    def _handle_broken(self, attempt: Attempt) -> None:
+        """End an attempt once it is known whether the server has ended too.
+
+        Several attempts may break together; one connection tells.
+        """
+        if attempt.ended:
+            return
+        self._broken.append(attempt)
+        if len(self._broken) == 1:
+            self._start(self._check_ended())
+
+    async def _check_ended(self) -> None:
+        """Connect again; a process that has ended refuses connections."""
+        reason = NoReply.BROKEN
+        connection = self._add_connection()
+        try:
+            async with asyncio.timeout(_CHECK_TIMEOUT_S):
+                await asyncio.get_running_loop().create_connection(
+                    lambda: connection, self.record.host, self.record.port
+                )
+        except ConnectionRefusedError:
+            reason = NoReply.SERVER_ENDED
+            connection.close()
+        except OSError:
+            connection.close()
+        broken = tuple(self._broken)
+        self._broken.clear()
+        for attempt in broken:
+            attempt.end(reason)
+
     async def _connect(self, connection: ServerConnection) -> None:
         try:
             async with asyncio.timeout(_CONNECT_TIMEOUT_S):
--- a/src/dandelionstage/gateway/shard_attempts.py
+++ b/src/dandelionstage/gateway/shard_attempts.py
@@ -7,8 +7,9 @@
 from ..catalog.servers import ServerId
 from ..placing.replicas import Replica
 from ..placing.shard_choice import should_skip
-from .attempt import Attempt, AttemptPurpose, Outcome, Reply
+from .attempt import Attempt, AttemptPurpose, NoReply, Outcome, Reply
 from .outcomes import is_success
+from .ended_servers import EndedServers
 from .request_schedule import RequestSchedule
 from .requests import CallerRequest
 from .run_context import Pool, RunContext
@@ -111,6 +112,8 @@
     :ivar is_past_target: whether the target time has passed.
     :ivar is_closed: whether failed attempts are no longer retried at other
         servers.
+    :ivar was_sent: whether a server may have run the request.
+    :ivar ended_shards: shards whose servers ended while they had the request.
     """
 
     def __init__(
@@ -129,6 +132,11 @@
         self.part_count = 0
         self.is_past_target = False
         self.is_closed = False
+        self.was_sent = False
+        self.ended_shards: set[ServiceId] = set()
+        self._ends = EndedServers(request, context)
+        self._held: list[tuple[ShardAttempts, Attempt]] = []
+        self._is_hedge_held = False
         self._request = request
         self._route = route
         self._schedule = schedule
@@ -139,6 +147,53 @@
         services = route.gather.shards if route.gather else ()
         self.all = [ShardAttempts(service) for service in services]
 
+    @property
+    def is_suspect(self) -> bool:
+        """Whether servers ended under the request and none has answered it.
+
+        It is then sent to no further server, except one at a time.
+        """
+        return not self.part_count and self._ends.is_any
+
+    @property
+    def is_deadly(self) -> bool:
+        """Whether the request is to be sent to no further server."""
+        return self._ends.is_deadly
+
+    def record_ends(self) -> None:
+        """Record the servers that have ended since the last trial."""
+        if not self.part_count:
+            self._ends.record()
+
+    def record_relayed_ends(self, services: Iterable[ServiceId]) -> None:
+        """Note servers that ended while they had the request of a relay."""
+        for service in services:
+            if service not in self.ended_shards:
+                self.ended_shards.add(service)
+                self._ends.add(self._request.arrived_ms)
+
+    def send_trial(self) -> bool:
+        """Send the request to one server, of any shard.
+
+        The last server of a shard is spared until the others had time to
+        restart.
+
+        :returns: whether there was a server to send to.
+        """
+        shards = [
+            shard
+            for shard in self.all
+            if shard.part is None
+            and shard.may_try_another(self._route)
+            and self._may_lose_server(shard)
+        ]
+        self._context.random.shuffle(shards)
+        for shard in shards:
+            if self._may_send_trial(shard):
+                self._ends.begin_trial()
+                return self.send_attempt(shard, AttemptPurpose.TRIAL)
+        return False
+
     def send_attempt(
         self, shard: ShardAttempts, purpose: AttemptPurpose
     ) -> bool:
@@ -187,6 +242,9 @@
         if self._context.now_ms() >= self._schedule.answer_ms:
             # The process was paused, so no reply would arrive in time.
             return
+        if self.is_suspect:
+            self._is_hedge_held = True
+            return
         for shard in self.all:
             is_own = shard.relayed is None and len(shard.pending) == 1
             if is_own and shard.may_try_another(self._route):
@@ -252,6 +310,30 @@
             else self._schedule.deadline_ms
         )
 
+    def _choose_untried(self, shard: ShardAttempts) -> Replica[Pool] | None:
+        return self._context.replicas.choose(
+            shard.service, self._context.now_ms(), avoid=shard.chosen
+        )
+
+    def _may_send_trial(self, shard: ShardAttempts) -> bool:
+        """Whether there is a server, and budget if the attempt is extra."""
+        if self._choose_untried(shard) is None:
+            return False
+        if shard.tried:
+            return self._sender.take_extra(shard.service, AttemptPurpose.TRIAL)
+        self._context.budgets.count_request(
+            shard.service, self._context.now_ms()
+        )
+        return True
+
+    def _may_lose_server(self, shard: ShardAttempts) -> bool:
+        """Whether the shard can be served if the server that is tried ends."""
+        if self._ends.have_restarted:
+            return True
+        replicas = self._context.replicas.for_service(shard.service)
+        up = sum(replica.pool.has_idle_connection for replica in replicas)
+        return up > 1
+
     def _choose(self, shard: ShardAttempts) -> Replica[Pool] | None:
         now_ms = self._context.now_ms()
         replica: Replica[Pool] | None = None
@@ -277,18 +359,48 @@
         if was_relayed:
             shard.relayed = None
         shard.update_tried(attempt)
+        self._note_end(shard, attempt, outcome)
         if is_success(outcome) and isinstance(outcome, Reply):
             self._accept_part(shard, outcome)
         elif was_relayed:
             self._take_over_from_relay(shard, attempt, outcome)
         elif not self._ended_at_deadline(attempt):
-            self._retry(shard, attempt, outcome)
+            self._log_and_retry(shard, attempt, outcome)
         self._on_change()
 
     def _accept_part(self, shard: ShardAttempts, reply: Reply) -> None:
         shard.part = reply
         self.part_count += 1
         self._abandon_pending(shard)
+        self._ends.record_answer()
+        if self._held or self._is_hedge_held:
+            self._resume_held()
+
+    def _note_end(
+        self, shard: ShardAttempts, attempt: Attempt, outcome: Outcome
+    ) -> None:
+        """Note whether the request may have run, and if its server ended."""
+        is_refused = isinstance(outcome, Reply) and not outcome.ran
+        if attempt.sent_ms is None or is_refused:
+            return
+        self.was_sent = True
+        if outcome is NoReply.SERVER_ENDED:
+            self.ended_shards.add(shard.service)
+            self._ends.add(attempt.sent_ms)
+            if len(self.ended_shards) * 2 > len(self.all):
+                # Other VMs should know before the last server has ended.
+                self.record_ends()
+
+    def _resume_held(self) -> None:
+        """Send what was held back until a server answered."""
+        held = self._held
+        self._held = []
+        for shard, attempt in held:
+            if shard.part is None and not shard.pending:
+                self._retry(shard, attempt)
+        if self._is_hedge_held:
+            self._is_hedge_held = False
+            self.hedge()
 
     def _abandon_pending(self, shard: ShardAttempts) -> None:
         self.pending_shards -= bool(shard.pending)
@@ -310,12 +422,13 @@
         """Query a shard from this VM after its relay returned no reply."""
         if attempt.sent_ms is None:
             # The relay did not take the query, so this is the first attempt.
-            self.send_first_attempt(shard)
+            if not self.is_suspect:
+                self.send_first_attempt(shard)
             return
         if not shard.is_fully_reported and not shard.tried:
             shard.unreported_count = self._count_unreported(attempt)
         if self.is_past_target or not self._ended_at_deadline(attempt):
-            self._retry(shard, attempt, outcome)
+            self._log_and_retry(shard, attempt, outcome)
 
     def _count_unreported(self, attempt: Attempt) -> int:
         """Return the number of servers that a relay may have sent to."""
@@ -325,11 +438,17 @@
         # The relay may also have hedged.
         return self._route.attempts
 
-    def _retry(
+    def _log_and_retry(
         self, shard: ShardAttempts, attempt: Attempt, outcome: Outcome
     ) -> None:
-        """Send an attempt at another server after a failure, if allowed."""
         self._sender.log_failure(shard.service, attempt, outcome)
+        if self.is_suspect:
+            self._held.append((shard, attempt))
+        else:
+            self._retry(shard, attempt)
+
+    def _retry(self, shard: ShardAttempts, attempt: Attempt) -> None:
+        """Send an attempt at another server after a failure, if allowed."""
         if (
             self.is_closed
             or shard.pending
--- a/src/dandelionstage/gateway/single_run.py
+++ b/src/dandelionstage/gateway/single_run.py
@@ -7,7 +7,8 @@
 from ..catalog.routes import RepeatPolicy, Route, ServiceId
 from ..catalog.servers import ServerId
 from ..placing.replicas import Replica
-from .attempt import Attempt, AttemptPurpose, Outcome, Reply
+from .attempt import Attempt, AttemptPurpose, NoReply, Outcome, Reply
+from .ended_servers import EndedServers
 from .outcomes import is_misdirected, is_success
 from .request_schedule import RequestSchedule
 from .requests import Answer, CallerRequest, end_to_end_headers, error_answer
@@ -50,6 +51,7 @@
         self._answer = AnswerOnce(send_answer)
         self._sender = AttemptSender(request, route, context)
         self._timer = SingleTimer(context)
+        self._ends = EndedServers(request, context)
         self._service: ServiceId = route.choose_service(context.random)
         self._tried: list[ServerId] = []
         self._pending: list[Attempt] = []
@@ -107,6 +109,7 @@
 
     def _end(self, attempt: Attempt, outcome: Outcome) -> None:
         self._sender.recorder.record_outcome(attempt, outcome)
+        self._note_end(attempt, outcome)
         if attempt in self._pending:
             self._pending.remove(attempt)
         if not self._answer.is_pending:
@@ -116,6 +119,14 @@
         else:
             self._handle_failure(attempt, outcome)
 
+    def _note_end(self, attempt: Attempt, outcome: Outcome) -> None:
+        """Record whether the server answered or ended under the request."""
+        if is_success(outcome):
+            self._ends.record_answer()
+        elif outcome is NoReply.SERVER_ENDED and attempt.sent_ms is not None:
+            self._ends.add(attempt.sent_ms)
+            self._ends.record()
+
     def _handle_failure(self, attempt: Attempt, outcome: Outcome) -> None:
         """Retry, wait for other attempts or answer after a failed attempt."""
         may_have_run = attempt.sent_ms is not None and not (
@@ -143,7 +154,7 @@
         if isinstance(outcome, Reply) and outcome.ran:
             if outcome.status not in _SERVER_ERRORS:
                 return False
-        if self._possible_runs >= self._route.attempts:
+        if self._possible_runs >= self._route.attempts or self._ends.is_deadly:
             return False
         if (
             self._context.now_ms() >= self._schedule.end_ms
@@ -157,10 +168,15 @@
             self._service, AttemptPurpose.RETRY
         )
 
+    @property
+    def _may_run_twice(self) -> bool:
+        """Whether the request may run at two servers at a time."""
+        return self._is_idempotent and not self._ends.is_any
+
     def _hedge(self) -> None:
         """Send a second attempt if the first is slow and a hedge is allowed."""
         may_hedge = (
-            self._is_idempotent
+            self._may_run_twice
             and len(self._pending) == 1
             and len(self._tried) < self._route.attempts
             and self._choose() is not None
--- a/src/dandelionstage/platform/node.py
+++ b/src/dandelionstage/platform/node.py
@@ -92,7 +92,13 @@
             self._sources.own_vm,
             self._list_local_vms,
             self._relay_address_of,
-            RelayContext(now_ms, call_later, log, relay_budget),
+            RelayContext(
+                now_ms,
+                call_later,
+                log,
+                relay_budget,
+                self._sources.spread.deadly,
+            ),
         )
         tools = RunContext(
             replicas=self._replicas,
@@ -107,6 +113,7 @@
             random=random,
             relays=self._relays,
             limits=self._sources.spread.limits,
+            deadly=self._sources.spread.deadly,
         )
         self._callers = CallerListener(
             host_and_port(settings.listen_addrs.front),
--- a/src/dandelionstage/relaying/messages.py
+++ b/src/dandelionstage/relaying/messages.py
@@ -9,6 +9,8 @@
 
 import msgspec
 
+from ..placing.server_ends import RequestReport
+
 __all__ = (
     'Message',
     'Part',
@@ -62,10 +64,13 @@
 
     :ivar number: number of the request.
     :ivar is_taken: whether the relay queries the shards.
+    :ivar suspicion: what the relay knows of servers that ended under the
+        request, if that is why it refuses.
     """
 
     number: int
     is_taken: bool
+    suspicion: RequestReport | None = None
 
 
 @final
@@ -89,6 +94,7 @@
         part.
     :ivar is_closed: whether the relay sends to no further servers.
     :ivar is_last: whether this is the last report on the query.
+    :ivar ended: shards whose servers ended while they had the request.
     """
 
     number: int
@@ -96,6 +102,7 @@
     tried: dict[str, Sequence[str]]
     is_closed: bool
     is_last: bool
+    ended: Sequence[str] = ()
 
 
 @final
--- a/src/dandelionstage/relaying/relay_listener.py
+++ b/src/dandelionstage/relaying/relay_listener.py
@@ -9,6 +9,8 @@
 from ..gateway.read_limits import ReadBudget
 from ..gateway.run_context import RunContext
 from ..lifecycle.resource_owner import ResourceOwner
+from ..placing.deadly_requests import Verdict
+from ..placing.server_ends import RequestReport
 from .messages import (
     Message,
     PartsReport,
@@ -91,9 +93,10 @@
             self._context,
             partial(self._report, connection),
         )
+        suspicion = self._find_suspicion(run)
         has_capacity = len(self._runs) < _MAX_RUNS and self._is_accepting()
-        is_taken = has_capacity and not run.is_too_late
-        connection.send(RelayAcceptance(request.number, is_taken))
+        is_taken = has_capacity and not run.is_too_late and suspicion is None
+        connection.send(RelayAcceptance(request.number, is_taken, suspicion))
         if is_taken:
             self._runs[connection, request.number] = run
             run.start()
@@ -105,6 +108,17 @@
             answer_left_ms=round(request.answer_left_ms, 1),
         )
 
+    def _find_suspicion(self, run: RelayRun) -> RequestReport | None:
+        """Return what is known of a request that is not to be sent now."""
+        deadly = self._context.deadly
+        now_ms = self._context.now_ms()
+        if not len(deadly):
+            # The usual case, in which no digest is needed.
+            return None
+        if deadly.verdict(run.digest, now_ms) is Verdict.UNSUSPECTED:
+            return None
+        return deadly.report(run.digest, now_ms)
+
     def _report(self, connection: RelayConnection, parts: PartsReport) -> None:
         if parts.is_last:
             self._runs.pop((connection, parts.number), None)
--- a/src/dandelionstage/relaying/relay_run.py
+++ b/src/dandelionstage/relaying/relay_run.py
@@ -10,6 +10,7 @@
 from ..gateway.run_helpers import SingleTimer
 from ..gateway.shard_attempts import ShardAttempts, QueryAttempts
 from ..gateway.run_context import RunContext
+from ..placing.server_ends import RequestDigest
 from .messages import Part, PartsReport, RelayRequest
 
 __all__ = ('RelayRun',)
@@ -44,6 +45,7 @@
         :param report: sends a report to the other VM.
         """
         self._number = request.number
+        self._request = _request_of(request, context.now_ms())
         self._gather = Gather(
             tuple(map(ServiceId, request.shards)),
             request.record_count,
@@ -55,7 +57,7 @@
         self._schedule = _schedule_of(request, context, unread_ms)
         route = _route_of(request, self._gather)
         self._shards = QueryAttempts(
-            _request_of(request, context.now_ms()),
+            self._request,
             route,
             self._schedule,
             context,
@@ -65,6 +67,11 @@
         self._is_starting = True
         self.is_over = False
 
+    @property
+    def digest(self) -> RequestDigest:
+        """Digest of the caller's request."""
+        return self._request.digest
+
     @property
     def is_too_late(self) -> bool:
         """Whether the target time has passed."""
@@ -121,7 +128,12 @@
                 parts.append(self._part_of(shard))
         self._report(
             PartsReport(
-                self._number, parts, tried, self._shards.is_closed, is_last
+                self._number,
+                parts,
+                tried,
+                self._shards.is_closed,
+                is_last,
+                tuple(self._shards.ended_shards),
             )
         )
 
--- a/src/dandelionstage/relaying/relay_vm.py
+++ b/src/dandelionstage/relaying/relay_vm.py
@@ -13,6 +13,8 @@
 from ..gateway.run_context import Timer
 from ..model.ids import VmId
 from ..operations.events import EventLog
+from ..placing.deadly_requests import DeadlyRequests
+from ..spread.deadly_messages import check_request_report
 from .messages import (
     Message,
     Part,
@@ -55,6 +57,7 @@
     :ivar call_later: calls a function after a delay in milliseconds.
     :ivar log: log for failures.
     :ivar budget: bounds the messages of all connections together.
+    :ivar deadly: requests under which servers ended.
     """
 
     def __init__(
@@ -63,8 +66,10 @@
         call_later: Callable[[float, Callable[[], None]], Timer],
         log: EventLog,
         budget: ReadBudget | None = None,
+        deadly: DeadlyRequests | None = None,
     ) -> None:
         """Store the dependencies."""
+        self.deadly = deadly or DeadlyRequests()
         self.budget = budget or ReadBudget()
         self.now_ms = now_ms
         self.call_later = call_later
@@ -98,6 +103,8 @@
             self.query.record_tried(
                 ServiceId(service), map(ServerId, servers), message.is_closed
             )
+        # Before the parts, as a part shows that the request is not deadly.
+        self.query.record_ends(map(ServiceId, message.ended))
         for part in message.parts:
             attempt = self.query.attempts.get(ServiceId(part.shard))
             if attempt is not None:
@@ -251,12 +258,25 @@
         if acceptance.is_taken:
             pending.timer = self._start_report_timer(pending)
         else:
-            self._avoid('refused')
+            self._handle_refusal(acceptance)
             self._pending.pop(acceptance.number)
             for attempt in pending.query.attempts.values():
                 attempt.sent_ms = None
             pending.end(NoReply.WITHDRAWN)
 
+    def _handle_refusal(self, acceptance: RelayAcceptance) -> None:
+        """Avoid the relay, unless it refused because of the request."""
+        suspicion = acceptance.suspicion
+        if suspicion is None:
+            self._avoid('refused')
+            return
+        try:
+            check_request_report(suspicion)
+        except ValueError as error:
+            self._avoid(str(error))
+            return
+        self._context.deadly.apply_reports((suspicion,), self._context.now_ms())
+
     def _handle_report(self, message: PartsReport) -> None:
         pending = self._pending.get(message.number)
         if pending is None:
--- a/src/dandelionstage/spread/gossip_node.py
+++ b/src/dandelionstage/spread/gossip_node.py
@@ -16,8 +16,11 @@
 from ..operations.events import EventLog
 from ..operations.supervision import start_supervised
 from ..placing.budget_loans import Loan, Loans
+from ..placing.deadly_requests import DeadlyRequests
 from ..placing.server_limits import ServerLimits
 from ..placing.slow_server_reports import SlowServer
+from . import deadly_messages
+from .deadly_exchange import DeadlyExchange
 from .frames import host_and_port
 from .members import Address, Members
 from .messages import PROTOCOL, Hello, KnownMember, decode_hello, encode
@@ -62,6 +65,7 @@
     :ivar loans: retry budget lent and borrowed.
     :ivar limits: limits on requests that servers have named.
     :ivar permits: requests for permits to send to limited servers.
+    :ivar deadly: requests under which servers ended.
     :ivar lend: lends part of this VM's retry budget; takes the borrower and
         the time of its request.
     """
@@ -89,13 +93,16 @@
         self._log = log
         self._random = random
         self.limits = ServerLimits()
+        exchange_context = ExchangeContext(log, random, now_ms, call_later)
         self.permits = PermitExchange(
-            own,
-            self.members,
-            self.limits,
-            ExchangeContext(log, random, now_ms, call_later),
+            own, self.members, self.limits, exchange_context
         )
         self.permits.send = self._send
+        self.deadly = DeadlyRequests(random)
+        self._deadly_exchange = DeadlyExchange(
+            self.members, self.deadly, exchange_context
+        )
+        self._deadly_exchange.send = self._send
         self.list_slow_servers: Callable[[], list[SlowServer]] = list
         self.apply_slow_reports: Callable[[list[SlowServer]], None] = (
             _ignore_reports
@@ -167,6 +174,10 @@
         if hello.protocol == PROTOCOL:
             self._handle_hello(hello)
 
+    def receive_request_ends(self, datagram: bytes) -> None:
+        """Handle what another VM knows of requests that end servers."""
+        self._deadly_exchange.receive(datagram)
+
     def _handle_hello(self, hello: Hello) -> None:
         sender = Address(VmId(hello.vm))
         self._record_members(sender, hello)
@@ -175,6 +186,9 @@
         loan = self._grant_loan(sender, hello)
         if hello.wants_reply or loan is not None:
             self._send_hello(sender, wants_reply=False, loan=loan)
+        if hello.wants_reply:
+            # It may have just started, or was cut off.
+            self._deadly_exchange.send_to(sender)
         self._puller.pull_if_newer(sender, hello.as_of)
         self.apply_slow_reports(_slow_servers_of(hello))
         self.limits.apply_reports(hello.limits, now_ms())
@@ -240,7 +254,10 @@
             self._send_hellos(self._choose_alive(), wants_reply=True)
             await asyncio.sleep(_STARTUP_ROUND_S)
         while True:
-            self._send_hellos(self._choose_alive(), wants_reply=False)
+            chosen = self._choose_alive()
+            self._send_hellos(chosen, wants_reply=False)
+            for vm in chosen[:1]:
+                self._deadly_exchange.send_to(vm)
             if self._random.random() < _LOST_ROUND_FRACTION:
                 self._send_hellos(self._choose_lost(), wants_reply=True)
             self.members.expire(now_ms())
@@ -291,5 +308,7 @@
         if data.startswith(PREFIX):
             sender = Address(VmId('{0}:{1}'.format(*addr)))
             self._node.permits.receive(data, sender)
+        elif data.startswith(deadly_messages.PREFIX):
+            self._node.receive_request_ends(data)
         else:
             self._node.receive(data)
--- a/tests/test_relay_vm.py
+++ b/tests/test_relay_vm.py
@@ -58,6 +58,7 @@
             SCHEDULE,
             {shard: attempt},
             lambda service, tried, is_all: None,
+            lambda services: None,
         )
         self.relay.send_query(query)
 
