Requests late in a planned stop are answered, or refused as not run (LOST)

What callers would see: in a planned stop, in calm, a request of which the rest arrives up to a second after the VM has stopped accepting was passed on to a server and, if it outlasted what was left, cut without an answer 0.9 s before the end of the grace period; requests that may not be repeated too. One that was taken before the stop and outlasts the grace period was cut in the same way.

Cause: the gateway did not know how much time the stop leaves, and the end of the drain closed connections with whatever they were doing.

Ruled out: a new request on a kept connection after the VM has stopped accepting; idle connections are closed within 50 ms then.

Change: while the VM finishes requests, one that may be repeated gets the time that is left; one that may not is refused at once (503, not run, connection closed) if it could take longer. At the end, requests that were not read are refused, and what is unfinished is answered by 504, which promises nothing.

--- a/src/dandelionstage/gateway/caller_connection.py
+++ b/src/dandelionstage/gateway/caller_connection.py
@@ -24,6 +24,7 @@
 
 _CONTINUE: Final = b'HTTP/1.1 100 Continue\r\n\r\n'
 _KEEP_ALIVE_HEADER: Final = b'connection: keep-alive\r\n'
+_STOPPING: Final = 'this VM is stopping'
 _CLOSE_HEADER: Final = b'connection: close\r\n'
 _REASON_PHRASES: Final = MappingProxyType(
     {status.value: status.phrase.encode() for status in HTTPStatus},
@@ -143,6 +144,25 @@
         if self.phase is ConnectionPhase.IDLE and self._transport is not None:
             self._transport.close()
 
+    def answer_unfinished(self) -> None:
+        """Answer a request in progress, as this VM stops, and close.
+
+        The answer promises nothing, as the request may have run.
+        """
+        request = self._request
+        if self.phase is ConnectionPhase.READING:
+            self._refuse(
+                RequestFault(HTTPStatus.SERVICE_UNAVAILABLE, _STOPPING)
+            )
+        elif request is not None:
+            on_disconnect = request.on_disconnect
+            self.is_last = True
+            self._send_answer(
+                error_answer(HTTPStatus.GATEWAY_TIMEOUT, _STOPPING)
+            )
+            if on_disconnect is not None:
+                on_disconnect()
+
     def close_if_overdue(self, at_ms: float) -> None:
         """Close if the caller exceeded the header or idle timeout."""
         limits = self._context.limits()
--- a/src/dandelionstage/gateway/caller_listener.py
+++ b/src/dandelionstage/gateway/caller_listener.py
@@ -98,6 +98,11 @@
         for connection in tuple(self._connections):
             connection.close_if_idle()
 
+    def answer_in_progress(self) -> None:
+        """Answer the requests in progress, as they cannot be finished."""
+        for connection in tuple(self._connections):
+            connection.answer_unfinished()
+
     def stop_listening(self) -> None:
         """Stop accepting new connections."""
         if self._server is not None:
--- a/src/dandelionstage/gateway/gateway.py
+++ b/src/dandelionstage/gateway/gateway.py
@@ -8,7 +8,7 @@
 from typing import Final, final
 
 from ..catalog.catalog import Catalog
-from ..catalog.routes import Gather, Route
+from ..catalog.routes import Gather, RepeatPolicy, Route
 from ..placing.deadly_requests import TRIAL_MS, Verdict
 from ..placing.shard_choice import (
     is_limited,
@@ -48,6 +48,7 @@
     OVERLOADED = 'more queries than the servers can answer in time'
     LIMITED = 'servers of too many shards limit their requests'
     DEADLY = 'servers end when they run this request'
+    STOPPING = 'this VM is stopping'
     SUSPECT = 'servers ended while they had this request'
     CUT_OFF = 'data centre is cut off from the servers of too many shards'
 
@@ -61,20 +62,36 @@
         RefusalReason.OVERLOADED: 250.0,
         RefusalReason.LIMITED: 250.0,
         RefusalReason.SUSPECT: TRIAL_MS,
+        # At once, as other VMs serve new connections.
+        RefusalReason.STOPPING: 10.0,
         # Soon, as new connections then go to another data centre.
         RefusalReason.CUT_OFF: 200.0,
     },
 )
 
 
+def _never_late() -> float:
+    """Return infinity, as this VM does not stop."""
+    return float('inf')
+
+
 @final
 class Gateway:  # noqa: WPS214 -- one decision a method
     """Chooses the route of a request and starts a run that serves it."""
 
     def __init__(
-        self, catalog: Catalog, context: RunContext, margins: NetworkMargins
+        self,
+        catalog: Catalog,
+        context: RunContext,
+        margins: NetworkMargins,
+        late_left_ms: Callable[[], float] = _never_late,
     ) -> None:
-        """Create a gateway that reads its routes from a catalog."""
+        """Create a gateway that reads its routes from a catalog.
+
+        :param late_left_ms: returns how much time this VM has left while it
+            stops and finishes requests, infinity before that.
+        """
+        self._late_left_ms = late_left_ms
         self._catalog = catalog
         self._context = context
         self._margins = margins
@@ -240,6 +257,8 @@
         """Return why a request cannot be served now, ``None`` if it can."""
         if self._time_left_ms(request) < _MIN_TIME_LEFT_MS:
             return RefusalReason.EXPIRED
+        if not self._fits_before_stop(request, route):
+            return RefusalReason.STOPPING
         if route.gather is None:
             return None
         if self._must_refuse_query(route.gather):
@@ -251,6 +270,20 @@
             )
         return self._overload_reason(request, route, route.gather)
 
+    def _fits_before_stop(self, request: CallerRequest, route: Route) -> bool:
+        """Whether a request can be finished before this VM stops.
+
+        One that may be repeated gets the time that is left.
+        """
+        left_ms = self._late_left_ms()
+        if left_ms >= min(self._time_left_ms(request), route.timeout_ms):
+            return True
+        if route.repeat_policy is not RepeatPolicy.IDEMPOTENT:
+            return False
+        waited_ms = self._context.now_ms() - request.arrived_ms
+        request.time_left_ms = min(request.time_left_ms, waited_ms + left_ms)
+        return left_ms >= route.target_ms
+
     def _overload_reason(
         self, request: CallerRequest, route: Route, gather: Gather
     ) -> RefusalReason | None:
--- a/src/dandelionstage/gateway/shutdown.py
+++ b/src/dandelionstage/gateway/shutdown.py
@@ -38,6 +38,9 @@
     def stop_listening(self) -> None:
         """Stop accepting new connections."""
 
+    def answer_in_progress(self) -> None:
+        """Answer the requests in progress, as they cannot be finished."""
+
 
 @final
 @dataclass(frozen=True, slots=True)
@@ -87,6 +90,18 @@
             )
         )
         self._stop_requested = asyncio.Event()
+        self._limits = limits
+        self._drained_ms = float('inf')
+
+    @property
+    def late_left_ms(self) -> float:
+        """Time left for requests that arrive while others are finished.
+
+        :returns: infinity before that.
+        """
+        if self._sequence.accepts_new:
+            return float('inf')
+        return max(0, self._drained_ms - now_ms())
 
     @property
     def has_begun(self) -> bool:
@@ -95,6 +110,11 @@
 
     def begin(self) -> None:
         """Begin the shutdown; further calls have no effect."""
+        if not self.has_begun:
+            limits = self._limits
+            self._drained_ms = (
+                now_ms() + limits.not_ready_ms + limits.draining_ms
+            )
         self._sequence.begin(now_ms())
         self._listener.close_after_next_answer()
         self._stop_requested.set()
@@ -122,4 +142,6 @@
             self._log.event('stop_step', step=state.value)
             if state is StopState.DRAINING:
                 self._listener.stop_listening()
+            elif previous is StopState.DRAINING:
+                self._listener.answer_in_progress()
         return state
--- a/src/dandelionstage/platform/node.py
+++ b/src/dandelionstage/platform/node.py
@@ -119,7 +119,12 @@
             host_and_port(settings.listen_addrs.front),
             HEADERS,
             self._caller_limits,
-            Gateway(self._sources.catalog, tools, NetworkMargins()).handle,
+            Gateway(
+                self._sources.catalog,
+                tools,
+                NetworkMargins(),
+                self._late_left_ms,
+            ).handle,
             tools.delivery_times,
             self._request_budget,
             self._sends_callers_elsewhere,
@@ -150,6 +155,9 @@
         """Read the settings file again."""
         self._settings_file.reload(self._log, self._apply_settings)
 
+    def _late_left_ms(self) -> float:
+        return self._shutdown.late_left_ms
+
     async def _open(self, stack: AsyncExitStack) -> None:
         settings = self._settings_file.settings
         self._register_callbacks()
