--- a/src/dandelionstage/gateway/reply_reader.py
+++ b/src/dandelionstage/gateway/reply_reader.py
@@ -19,6 +19,8 @@
 
 __all__ = ('HeaderNames', 'ReplyReader', 'StreamState')
 
+_FRAMING_HEADERS: Final = frozenset((b'content-length', b'transfer-encoding'))
+_OLD_VERSION: Final = '1.0'
 _BODILESS_STATUSES: Final = frozenset((204, 304))
 _FIRST_FINAL_STATUS: Final = 200
 _DECIMAL: Final = re.compile(rb'\d{1,9}(\.\d{0,40})?|\.\d{1,40}')
@@ -70,7 +72,7 @@
     BROKEN = 'broken'
 
 
-class _LimitReached(Exception):  # noqa: N818 -- stops the parser
+class _StopParser(Exception):  # noqa: N818 -- no error
     """Raised in a callback to stop the parser; caught by the reader."""
 
 
@@ -79,10 +81,14 @@
     """Parses the bytes of a connection into replies with their request ids.
 
     A reply with a length or chunked framing is complete when all of its body
-    has arrived; any other reply is complete only when the server closes the
-    connection in order.  The reader reports every reply; the callback must
-    ignore those whose id belongs to no pending request.  A reply that exceeds
-    a limit breaks the stream.
+    has arrived.  Any other reply is complete when the server closes the
+    connection in order, but only if its head announced that and a body has
+    arrived: otherwise the server may have ended within its head, or the head
+    may have lost the header that says how long the body is.
+
+    The reader reports every reply; the callback must ignore those whose id
+    belongs to no pending request.  A reply that exceeds a limit breaks the
+    stream.
 
     :ivar exceeded: limit that broke the stream, ``None`` if none did.
     :ivar idle_timeout_ms: how long the server keeps an idle connection open,
@@ -149,7 +155,7 @@
 
     def feed_eof(self) -> None:
         """Handle an orderly close, which completes a reply without a length."""
-        if self._in_reply and self._ends_at_eof:
+        if self._in_reply and self._ends_at_eof and self._body_bytes:
             self.on_message_complete()
 
     def on_message_begin(self) -> None:
@@ -166,7 +172,7 @@
         self._header_count += 1
         if self._header_count > _MAX_HEADERS:
             self._exceed(ReadLimit.HEADERS, self._header_count)
-            raise _LimitReached
+            raise _StopParser
         if not self._has_head:
             # Trailers, which follow the body, must not change what the head
             # said of the reply.
@@ -179,18 +185,16 @@
             self._interim_count += 1
             if self._interim_count > _MAX_INTERIM_REPLIES:
                 self._exceed(ReadLimit.INTERIM_REPLIES, self._interim_count)
-                raise _LimitReached
+                raise _StopParser
             self._ends_at_eof = False
             return
-        header_names = {name for name, _ in self._headers}
-        is_framed = (
-            b'content-length' in header_names
-            or b'transfer-encoding' in header_names
-        )
+        is_framed = any(name in _FRAMING_HEADERS for name, _ in self._headers)
         is_bodiless = self._parser.get_status_code() in _BODILESS_STATUSES
         self._ends_at_eof = not (is_framed or is_bodiless)
         if self._ends_at_eof:
             self.stream = StreamState.NOT_REUSABLE
+            if not self._announces_close():
+                raise _StopParser
 
     def on_body(self, chunk: bytes) -> None:
         """Store a chunk of the body (called by the parser)."""
@@ -202,7 +206,7 @@
         elif self._body_bytes > UNCOUNTED_BYTES:
             self._budget.hold(self, self._body_bytes)
         if self.exceeded is not None:
-            raise _LimitReached
+            raise _StopParser
 
     def on_message_complete(self) -> None:
         """Report a complete reply (called by the parser)."""
@@ -232,6 +236,18 @@
             ),
         )
 
+    def _announces_close(self) -> bool:
+        """Whether the head says that the connection ends with the reply."""
+        options = {
+            option.strip().lower()
+            for name, content in self._headers
+            if name == b'connection'
+            for option in content.split(b',')
+        }
+        if self._parser.get_http_version() == _OLD_VERSION:
+            return b'keep-alive' not in options
+        return b'close' in options
+
     def _check_frame_bytes(self) -> None:
         """Break the stream if too many bytes belong to no body."""
         if not self._body_bytes:
--- a/tests/test_gateway_connections.py
+++ b/tests/test_gateway_connections.py
@@ -217,7 +217,9 @@
     assert outcomes == [NoReply.BROKEN]
 
 
-REPLY_WITHOUT_LENGTH = b'HTTP/1.1 200 OK\r\nX-Id: r1\r\nX-Stamp: s\r\n\r\nabc'
+REPLY_WITHOUT_LENGTH = (
+    b'HTTP/1.1 200 OK\r\nX-Id: r1\r\nX-Stamp: s\r\nConnection: close\r\n\r\nabc'
+)
 
 
 def test_reply_without_length_is_complete_on_orderly_close():
--- a/tests/test_read_limits.py
+++ b/tests/test_read_limits.py
@@ -40,7 +40,7 @@
 HELD_BYTES = 1024 * 1024
 
 HEAD = b'HTTP/1.1 200 OK\r\nX-Id: r1\r\nX-Stamp: s\r\n'
-UNFRAMED_HEAD = b'%b\r\n' % HEAD
+UNFRAMED_HEAD = b'%bConnection: close\r\n\r\n' % HEAD
 CHUNKED_HEAD = b'%bTransfer-Encoding: chunked\r\n\r\n' % HEAD
 
 
