--- a/src/dandelionstage/gateway/gateway.py
+++ b/src/dandelionstage/gateway/gateway.py
@@ -125,17 +125,13 @@
         if verdict is Verdict.DEADLY:
             send_answer(self._refuse_deadly(request))
             return
-        if verdict is Verdict.ON_TRIAL:
+        is_trial = verdict is not Verdict.UNSUSPECTED
+        if is_trial and not self._may_try(request, verdict):
             self._wait_for_trial(request, send_answer)
             return
         reason = self._refusal_reason(request, route)
         if reason is None:
-            self._run(
-                request,
-                route,
-                send_answer,
-                is_trial=verdict is Verdict.SUSPECT,
-            )
+            self._run(request, route, send_answer, is_trial=is_trial)
         else:
             send_answer(self._refuse_unavailable(request, reason))
 
@@ -156,10 +152,28 @@
         self._hold(
             request,
             send_answer,
-            lambda: self._verdict(request) is not Verdict.ON_TRIAL,
+            lambda: self._is_tried(request),
             RefusalReason.SUSPECT,
         )
 
+    def _may_try(self, request: CallerRequest, verdict: Verdict) -> bool:
+        """Whether a suspect request may be sent to a server by this VM.
+
+        The trial is claimed first, so that no two VMs try it at a time.
+        """
+        now_ms = self._context.now_ms()
+        if verdict is Verdict.SUSPECT:
+            self._context.deadly.claim_trial(request.digest, now_ms)
+        return self._context.deadly.may_try(request.digest, now_ms)
+
+    def _is_tried(self, request: CallerRequest) -> bool:
+        """Whether the trial of a request is over or up to this VM."""
+        return self._verdict(
+            request
+        ) is not Verdict.ON_TRIAL or self._context.deadly.may_try(
+            request.digest, self._context.now_ms()
+        )
+
     def _wait_for_routes(
         self,
         request: CallerRequest,
--- a/src/dandelionstage/gateway/gather_run.py
+++ b/src/dandelionstage/gateway/gather_run.py
@@ -21,7 +21,8 @@
 #: Number of servers that a suspect request may be sent to in vain, as they
 #: are down, before the run gives up.
 _MAX_UNSENT_TRIALS: Final = 4
-#: A caller whose request was not sent may retry once servers have restarted.
+#: A caller whose request was not sent may retry after a random time up to
+#: twice this, when servers have restarted.
 _RETRY_AFTER_MS: Final = 1000.0
 #: Shards queried again after the target beyond those needed, as one may fail.
 _SPARE_SHARDS: Final = 1
@@ -261,7 +262,10 @@
             return
         status = HTTPStatus.SERVICE_UNAVAILABLE
         self._log_end('query_failed', status, reason)
-        self._answer.send(error_answer(status, reason, _RETRY_AFTER_MS))
+        retry_after_ms = self._context.random.uniform(
+            _RETRY_AFTER_MS, 2 * _RETRY_AFTER_MS
+        )
+        self._answer.send(error_answer(status, reason, retry_after_ms))
         self._release(is_slow=False)
 
     def _time_out(self) -> None:
--- a/src/dandelionstage/gateway/shard_attempts.py
+++ b/src/dandelionstage/gateway/shard_attempts.py
@@ -422,7 +422,9 @@
         """Query a shard from this VM after its relay returned no reply."""
         if attempt.sent_ms is None:
             # The relay did not take the query, so this is the first attempt.
-            if not self.is_suspect:
+            if self.is_suspect:
+                self._held.append((shard, attempt))
+            else:
                 self.send_first_attempt(shard)
             return
         if not shard.is_fully_reported and not shard.tried:
--- a/src/dandelionstage/placing/deadly_requests.py
+++ b/src/dandelionstage/placing/deadly_requests.py
@@ -18,7 +18,7 @@
 
 from .server_ends import RequestDigest, RequestReport, ServerEnds
 
-__all__ = ('TRIAL_MS', 'DeadlyRequests', 'Verdict')
+__all__ = ('CLAIM_MS', 'TRIAL_MS', 'DeadlyRequests', 'Verdict')
 
 #: A request is deadly once servers have ended under it this many times in
 #: succession without an answer in between.
@@ -31,13 +31,16 @@
 #: How long ends of servers are remembered.
 _EXPIRY_MS: Final = 7_200_000.0
 #: Other VMs wait this long for the outcome of a trial.
-TRIAL_MS: Final = 500.0
+TRIAL_MS: Final = 700.0
+#: A VM that claims a trial waits this long for other claims, of VMs that have
+#: not heard of it.  News reaches hundreds of VMs within half of this time.
+CLAIM_MS: Final = 200.0
 #: Time in which servers that have ended usually start again.
 _RESTART_MS: Final = 5000.0
 #: Number of requests that are remembered.
 _MAX_REQUESTS: Final = 1024
 #: Maximum number of requests in one message, so that it fits into one packet:
-#: those that changed within the time below first, then deadly ones at random.
+#: those that changed within the time below first, then others at random.
 _MAX_REPORTED: Final = 6
 _NEWS_MS: Final = 3000.0
 _NUMBER_BITS: Final = 32
@@ -90,7 +93,7 @@
 
     def has_ends(self, digest: RequestDigest) -> bool:
         """Whether servers ended under a request and none has answered it."""
-        return bool(self._records.get(digest))
+        return digest in self._records and bool(self._records[digest])
 
     def have_restarted(self, digest: RequestDigest, now_ms: float) -> bool:
         """Whether the servers that ended had time to start again."""
@@ -124,7 +127,7 @@
         :param sent_ms: when the request was first sent to one of them.
         :param ended_ms: when the last of them ended.
         """
-        number = self._random.getrandbits(_NUMBER_BITS)
+        number = self._new_number()
         record = self._record_of(digest)
         if record.add_own(number, servers, sent_ms, ended_ms):
             self._change(digest, record, ended_ms, is_own=True)
@@ -138,9 +141,31 @@
     def begin_trial(self, digest: RequestDigest, now_ms: float) -> None:
         """Have other VMs wait, as this one sends the request to a server."""
         record = self._record_of(digest)
-        record.extend_trial(now_ms + TRIAL_MS, now_ms)
+        if record.own_trial:
+            # Other VMs wait since it was claimed.
+            record.own_trial = 0
+            return
+        record.wait_for_trial(self._new_number(), now_ms + TRIAL_MS, now_ms)
         self._change(digest, record, now_ms, is_own=True)
 
+    def claim_trial(self, digest: RequestDigest, now_ms: float) -> None:
+        """Claim the next trial of a suspect request for this VM."""
+        record = self._record_of(digest)
+        record.own_trial = self._new_number()
+        record.claimed_ms = now_ms
+        record.wait_for_trial(record.own_trial, now_ms + TRIAL_MS, now_ms)
+        self._change(digest, record, now_ms, is_own=True)
+
+    def may_try(self, digest: RequestDigest, now_ms: float) -> bool:
+        """Whether this VM has claimed the trial, and no other VM has."""
+        record = self._records.get(digest)
+        return (
+            record is not None
+            and record.own_trial == record.trial
+            and record.own_trial > 0
+            and now_ms - record.claimed_ms >= CLAIM_MS
+        )
+
     def report(
         self, digest: RequestDigest, now_ms: float
     ) -> RequestReport | None:
@@ -155,7 +180,7 @@
         recent = self._list_changed(now_ms)
         chosen = random.sample(recent, min(_MAX_REPORTED, len(recent)))
         if len(chosen) < _MAX_REPORTED:
-            others = self._list_deadly().difference(recent)
+            others = self._list_ended().difference(recent)
             left = min(_MAX_REPORTED - len(chosen), len(others))
             chosen += random.sample(sorted(others), left)
         return [self._records[each].report(each, now_ms) for each in chosen]
@@ -176,11 +201,16 @@
             answered_ms = now_ms - report.answered_age_ms
             is_changed = record.record_answer(answered_ms)
         is_changed |= record.add_reported(report.ends, now_ms)
-        trial_until_ms = now_ms + report.trial_left_ms
-        is_changed |= record.extend_trial(trial_until_ms, now_ms)
+        if report.trial_left_ms:
+            until_ms = now_ms + report.trial_left_ms
+            is_changed |= record.wait_for_trial(report.trial, until_ms, now_ms)
         if is_changed:
             self._change(digest, record, now_ms, is_own=False)
 
+    def _new_number(self) -> int:
+        """Choose a number of an end or a trial, which is not 0."""
+        return self._random.getrandbits(_NUMBER_BITS) + 1
+
     def _list_changed(self, now_ms: float) -> list[RequestDigest]:
         """List the requests of which this VM learned something recently."""
         return [
@@ -189,12 +219,9 @@
             if now_ms - record.changed_ms < _NEWS_MS
         ]
 
-    def _list_deadly(self) -> set[RequestDigest]:
-        return {
-            digest
-            for digest, record in self._records.items()
-            if _is_deadly(record)
-        }
+    def _list_ended(self) -> set[RequestDigest]:
+        """List the requests under which servers ended and none answered."""
+        return {digest for digest, record in self._records.items() if record}
 
     def _record_of(self, digest: RequestDigest) -> ServerEnds:
         record = self._records.get(digest)
--- a/src/dandelionstage/placing/server_ends.py
+++ b/src/dandelionstage/placing/server_ends.py
@@ -13,6 +13,9 @@
 
 #: Number of ends that are remembered for one request.
 _MAX_ENDS: Final = 8
+#: Number of ends and trials of which copies are recognised, also when the ends
+#: no longer count.
+_MAX_NUMBERS: Final = 32
 _NEVER_MS: Final = float('-inf')
 
 
@@ -41,12 +44,14 @@
 
     :ivar answered_age_ms: time since a server answered the request, ``None``
         if none has.
-    :ivar trial_left_ms: for how long other VMs should wait for a trial.
+    :ivar trial: random number of the last trial, 0 if there was none.
+    :ivar trial_left_ms: for how long other VMs should wait for it.
     """
 
     digest: bytes
     ends: Sequence[EndReport]
     answered_age_ms: int | None
+    trial: int
     trial_left_ms: int
 
 
@@ -75,14 +80,21 @@
     """Known ends of servers under one request since it was last answered.
 
     :ivar answered_ms: time of the last answer, ``-inf`` if there was none.
+    :ivar trial: random number of the last trial, 0 if there was none.
     :ivar trial_until_ms: until when other VMs wait for the outcome of a trial.
+    :ivar own_trial: number of the trial that this VM has claimed, 0 if none.
+    :ivar claimed_ms: when it claimed it.
     :ivar changed_ms: when this VM last learned something new.
     """
 
     answered_ms: float = _NEVER_MS
+    trial: int = 0
     trial_until_ms: float = _NEVER_MS
     changed_ms: float = _NEVER_MS
+    own_trial: int = 0
+    claimed_ms: float = _NEVER_MS
     _ends: list[_End] = field(default_factory=list)
+    _numbers: list[int] = field(default_factory=list)
 
     def __len__(self) -> int:
         """Return the number of ends."""
@@ -130,11 +142,22 @@
         self._ends = later
         return is_changed
 
-    def extend_trial(self, until_ms: float, now_ms: float) -> bool:
-        """Wait for a trial; return whether none was waited for before."""
-        is_new = self.trial_until_ms <= now_ms < until_ms
+    def wait_for_trial(
+        self, number: int, until_ms: float, now_ms: float
+    ) -> bool:
+        """Wait for a trial; return whether the news must be passed on.
+
+        Copies of the news arrive later and would prolong the wait.  Of trials
+        that are claimed at the same time, all VMs choose the lowest number.
+        """
+        if not self._is_new(number):
+            return False
+        is_other = now_ms < self.trial_until_ms
         self.trial_until_ms = max(self.trial_until_ms, until_ms)
-        return is_new
+        if is_other and number > self.trial:
+            return False
+        self.trial = number
+        return True
 
     def report(self, digest: RequestDigest, now_ms: float) -> RequestReport:
         """Return what is known, for other VMs."""
@@ -143,11 +166,12 @@
             answered_age_ms = _age_ms(self.answered_ms, now_ms)
         trial_left_ms = int(max(0, self.trial_until_ms - now_ms))
         ends = tuple(end.report(now_ms) for end in self._ends)
-        return RequestReport(digest, ends, answered_age_ms, trial_left_ms)
+        return RequestReport(
+            digest, ends, answered_age_ms, self.trial, trial_left_ms
+        )
 
     def _add(self, end: _End) -> bool:
-        is_known = any(known.number == end.number for known in self._ends)
-        if is_known or end.sent_ms <= self.answered_ms:
+        if not self._is_new(end.number) or end.sent_ms <= self.answered_ms:
             return False
         self._ends.append(end)
         if len(self._ends) > _MAX_ENDS:
@@ -156,6 +180,15 @@
             self._ends.pop(0)
         return True
 
+    def _is_new(self, number: int) -> bool:
+        """Whether an end or a trial was not known; it is from now on."""
+        if number in self._numbers:
+            return False
+        self._numbers.append(number)
+        if len(self._numbers) > _MAX_NUMBERS:
+            self._numbers.pop(0)
+        return True
+
 
 def _ends_of(reports: Sequence[EndReport], now_ms: float) -> Iterator[_End]:
     for report in reports:
--- a/tests/test_deadly_request.py
+++ b/tests/test_deadly_request.py
@@ -27,6 +27,14 @@
         server.work_ms = WORK_MS
 
 
+def record_more_ends(spread):
+    """Have a VM that has seen servers end see it three times in succession."""
+    digest = next(iter(spread.deadly._records))
+    at_ms = now_ms()
+    for each in range(3):
+        spread.deadly.record_end(digest, 1, at_ms + each, at_ms + each + 1)
+
+
 def list_ends(platform):
     return sorted(
         itertools.chain.from_iterable(
@@ -78,6 +86,28 @@
     return statuses
 
 
+def test_vm_that_starts_later_rejects_a_deadly_request(tmp_path):
+    """What is known reaches VMs that were not there when it was found out."""
+
+    async def scenario():
+        async with running(tmp_path, 67, vms=3) as (platform, nodes):
+            make_deadly(platform)
+            asked = await request_path(nodes[0], DEADLY)
+            record_more_ends(nodes[0]._sources.spread)
+            assert asked.status_code == 502
+            ended = len(list_ends(platform))
+            platform.plan_hosts(4)
+            late = await platform.start_node(3)
+            await platform.until(lambda: late._sources.catalog.usable)
+            await asyncio.sleep(2)
+            answer = await request_path(late, DEADLY)
+            assert answer.status_code == 503
+            assert float(answer.headers['retry-after']) > 60
+            assert len(list_ends(platform)) == ended
+
+    asyncio.run(scenario())
+
+
 @pytest.mark.parametrize('vms', [1, 3])
 def test_request_that_ends_servers_reaches_few_of_them_again(tmp_path, vms):
     """Guards against a request that ends server after server."""
