--- a/review/4/case.py
+++ b/review/4/case.py
@@ -53,9 +53,7 @@
         for vm in place.vms:
             await place.until_ready(vm)
     in_touch_s = now_s() + _STABILITY_S
-    asking = [
-        _ask_for(place, vm, drained_s, in_touch_s) for vm in place.vms
-    ]
+    asking = [_ask_for(place, vm, drained_s, in_touch_s) for vm in place.vms]
     await asyncio.gather(*asking)
     bound_s = max(drained_s + _DRAIN_S, in_touch_s)
     late = [each for each in leaving.arrivals if each[0] > bound_s]
--- a/review/standins/http.py
+++ b/review/standins/http.py
@@ -94,9 +94,7 @@
     return Request(method, target, headers, body)
 
 
-def response(
-    status: str, headers: dict[str, str], body: bytes = b''
-) -> bytes:
+def response(status: str, headers: dict[str, str], body: bytes = b'') -> bytes:
     """Return the bytes of a response with a length."""
     lines = ['HTTP/1.1 {0}'.format(status)]
     lines += ['{0}: {1}'.format(*each) for each in headers.items()]
--- a/review/standins/place.py
+++ b/review/standins/place.py
@@ -33,9 +33,7 @@
 
     def note(self, text: str) -> None:
         """Write a line."""
-        self._file.write(
-            '{0:9.3f} {1}\n'.format(now_s() - self._start_s, text)
-        )
+        self._file.write('{0:9.3f} {1}\n'.format(now_s() - self._start_s, text))
         self._file.flush()
 
 
--- a/review/standins/store.py
+++ b/review/standins/store.py
@@ -9,7 +9,6 @@
 from .http import Port, now_s, read_request, response
 
 
-
 class Store:
     """Holds items under one revision counter and loses nothing.
 
