--- a/review/2/case.py
+++ b/review/2/case.py
@@ -15,6 +15,9 @@
 #: Of the answers of every second backend, as in the users' site files.
 _GARBLED = 0.03
 _LENGTH_S = 30.0
+#: Three disruptions of this length, with calm between.
+_GARBLE_S = 5.0
+_STARTS_S = (0.0, 10.0, 20.0)
 _CALLERS = 4
 #: The second answer breaks off in its first line.
 _SECOND = b'HTTP/1.1 400 Bad Request'
@@ -44,7 +47,7 @@
         await place.until_ready(vm)
     if place.has_trouble:
         for backend in list(place.backends.values())[::2]:
-            _garble(place, backend)
+            _garble(place, backend, now_s())
     broken = await _ask_all(place, _LENGTH_S)
     for kind, count in broken.items():
         place.record.note('{0}: {1}'.format(kind, count))
@@ -53,11 +56,13 @@
     return ''
 
 
-def _garble(place: Place, backend: Backend) -> None:
+def _garble(place: Place, backend: Backend, start_s: float) -> None:
     """Send a second answer that breaks off in its first line after some."""
 
     def spoil(request: Request, answer: bytes) -> bytes:
-        if random.random() >= _GARBLED:
+        at_s = now_s() - start_s
+        is_on = any(0 <= at_s - each < _GARBLE_S for each in _STARTS_S)
+        if not is_on or random.random() >= _GARBLED:
             return answer
         place.record.note(
             '{0} sends {1!r} after its answer to {2}'.format(
