--- a/src/dandelionstage/gateway/reply_reader.py
+++ b/src/dandelionstage/gateway/reply_reader.py
@@ -91,6 +91,8 @@
     stream.
 
     :ivar exceeded: limit that broke the stream, ``None`` if none did.
+    :ivar has_begun_reply: whether bytes of a reply that is not complete have
+        arrived; after a complete reply they belong to no request.
     :ivar idle_timeout_ms: how long the server keeps an idle connection open,
         as last stated in a keep-alive header; 0 if not stated.
     :ivar stream: state of the byte stream.
@@ -111,6 +113,7 @@
         :param on_dropped: called if the budget drops the reply.
         """
         self.exceeded: LimitExceeded | None = None
+        self.has_begun_reply = False
         self.idle_timeout_ms: float = 0
         self.stream = StreamState.OPEN
         self._header_names = header_names
@@ -123,7 +126,6 @@
         self._header_count = 0
         self._interim_count = 0
         self._has_head = False
-        self._in_reply = False
         self._ends_at_eof = False
         self._budget = budget or ReadBudget()
         self._on_dropped = on_dropped
@@ -155,7 +157,7 @@
 
     def feed_eof(self) -> None:
         """Handle an orderly close, which completes a reply without a length."""
-        if self._in_reply and self._ends_at_eof and self._body_bytes:
+        if self.has_begun_reply and self._ends_at_eof and self._body_bytes:
             self.on_message_complete()
 
     def on_message_begin(self) -> None:
@@ -165,7 +167,7 @@
         self._has_head = False
         self._body = []
         self._body_bytes = 0
-        self._in_reply = True
+        self.has_begun_reply = True
 
     def on_header(self, name: bytes, content: bytes) -> None:
         """Store a header (called by the parser)."""
@@ -211,9 +213,9 @@
     def on_message_complete(self) -> None:
         """Report a complete reply (called by the parser)."""
         status = self._parser.get_status_code()
-        if not self._in_reply or status < _FIRST_FINAL_STATUS:
+        if not self.has_begun_reply or status < _FIRST_FINAL_STATUS:
             return
-        self._in_reply = False
+        self.has_begun_reply = False
         self._frame_bytes = 0
         self._interim_count = 0
         if self._body_bytes > UNCOUNTED_BYTES:
--- a/src/dandelionstage/gateway/server_connection.py
+++ b/src/dandelionstage/gateway/server_connection.py
@@ -165,6 +165,7 @@
         )
         is_clean = (
             self._reader.stream is StreamState.OPEN
+            and not self._reader.has_begun_reply
             and not self._got_foreign_reply
         )
         self.attempt = None
--- a/src/dandelionstage/platform/store_client.py
+++ b/src/dandelionstage/platform/store_client.py
@@ -215,7 +215,11 @@
         """Whether another request may be sent on the connection."""
         transport = self._transport
         is_open = transport is not None and not transport.is_closing()
-        return is_open and self._reader.stream is StreamState.OPEN
+        is_clean = (
+            self._reader.stream is StreamState.OPEN
+            and not self._reader.has_begun_reply
+        )
+        return is_open and is_clean
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Enable keep-alive probes on the connection."""
--- a/tests/test_cut_replies.py
+++ b/tests/test_cut_replies.py
@@ -106,3 +106,33 @@
         with pytest.raises((StoreUnavailable, EOFError)):
             asyncio.run(read_page(whole[:size]))
     assert read_cut(STATUS + CLOSE + END + page, HEADERS)
+
+
+def test_cut_second_reply_of_the_store_never_joins_the_next_reply():
+    """Regression: the start of a second reply became part of the next one.
+
+    The calls share a connection unless bytes follow a complete reply.
+    """
+    page = b'{"items":[],"hasMore":false,"asOf":7}'
+    whole = b'%bContent-Length: %d\r\n\r\n%b' % (STATUS, len(page), page)
+    connections = []
+
+    async def serve(reader, writer):
+        connections.append(writer)
+        while await reader.readuntil(b'\r\n\r\n'):
+            writer.writelines((whole, b'HTTP/1.1 410 Gone'))
+
+    async def read_twice():
+        server = await asyncio.start_server(serve, '127.0.0.1', 0)
+        async with server:
+            client = StoreClient(
+                '127.0.0.1', server.sockets[0].getsockname()[1]
+            )
+            revisions = [await client.read_revision() for _ in range(2)]
+            client.close()
+            for writer in connections:
+                writer.close()
+            return revisions
+
+    assert asyncio.run(read_twice()) == [7, 7]
+    assert len(connections) == 2
--- a/tests/test_gateway_connections.py
+++ b/tests/test_gateway_connections.py
@@ -192,6 +192,37 @@
     assert transport.closed
 
 
+def second_reply(status, request_id=b'r0'):
+    """A reply with headers that would change the meaning of the next one."""
+    return (
+        b'HTTP/1.1 %b\r\nX-Id: %b\r\nX-Stamp: t\r\nX-Not-Run: 1\r\n'
+        b'Keep-Alive: timeout=5\r\nDate: Sat, 05 Dec\r\n'
+        b'Content-Length: 4\r\n\r\ncopy'
+    ) % (status, request_id)
+
+
+SECOND_REPLIES = tuple(
+    second_reply(status, request_id)
+    for status in (b'200 OK', b'400 Bad Request', b'503 Unavailable', b'103 E')
+    for request_id in (b'r0', b'r1')
+)
+
+
+@pytest.mark.parametrize('second', SECOND_REPLIES)
+def test_cut_second_reply_never_joins_the_next_reply(second):
+    """Regression: a connection was reused after the start of another reply.
+
+    The next reply got the status and headers of that start: a failure was
+    told as a success, and a request that ran was sent again.
+    """
+    for cut in range(1, len(second) + 1):
+        connection, transport, _ = open_server_connection()
+        outcomes = send_attempt(connection)
+        connection.data_received(reply_bytes() + second[:cut])
+        assert outcomes[0].status == 200
+        assert transport.closed, second[:cut]
+
+
 @given(st.integers(0, 80))
 def test_late_copy_inside_the_answer_does_not_complete_it(position):
     connection, transport, _ = open_server_connection()
