--- a/src/dandelionstage/gateway/reply_reader.py
+++ b/src/dandelionstage/gateway/reply_reader.py
@@ -26,6 +26,10 @@
 _DECIMAL: Final = re.compile(rb'\d{1,9}(\.\d{0,40})?|\.\d{1,40}')
 _TIMEOUT_PARAMETER: Final = b'timeout='
 _MS_PER_S: Final = 1000
+#: The start of a reply.  Within a head it shows that an earlier reply was cut
+#: off in its head and that this reply follows it.
+_VERSION: Final = b'HTTP/1.'
+_STATUS_LINE: Final = re.compile(rb'HTTP/1\.\d \d{3}')
 #: Limits on the heads of one reply, its interim ones included.
 _MAX_HEAD_BYTES: Final = 65_536
 _MAX_HEADERS: Final = 256
@@ -86,6 +90,8 @@
     arrived: otherwise the server may have ended within its head, or the head
     may have lost the header that says how long the body is.
 
+    A head that contains the status line of another reply breaks the stream.
+
     The reader reports every reply; the callback must ignore those whose id
     belongs to no pending request.  A reply that exceeds a limit breaks the
     stream.
@@ -119,6 +125,7 @@
         self._header_names = header_names
         self._on_reply = on_reply
         self._parser = httptools.HttpResponseParser(self)
+        self._reason = b''
         self._headers: list[tuple[bytes, bytes]] = []
         self._body: list[bytes] = []
         self._body_bytes = 0
@@ -162,6 +169,7 @@
 
     def on_message_begin(self) -> None:
         """Start a new reply (called by the parser)."""
+        self._reason = b''
         self._headers = []
         self._header_count = 0
         self._has_head = False
@@ -169,8 +177,13 @@
         self._body_bytes = 0
         self.has_begun_reply = True
 
+    def on_status(self, reason: bytes) -> None:
+        """Add to the reason phrase (called by the parser)."""
+        self._reason += reason
+
     def on_header(self, name: bytes, content: bytes) -> None:
         """Store a header (called by the parser)."""
+        self._check_not_joined(content)
         self._header_count += 1
         if self._header_count > _MAX_HEADERS:
             self._exceed(ReadLimit.HEADERS, self._header_count)
@@ -183,6 +196,7 @@
     def on_headers_complete(self) -> None:
         """Determine how the reply ends (called by the parser)."""
         self._has_head = True
+        self._check_not_joined(self._reason)
         if self._parser.get_status_code() < _FIRST_FINAL_STATUS:
             self._interim_count += 1
             if self._interim_count > _MAX_INTERIM_REPLIES:
@@ -238,6 +252,13 @@
             ),
         )
 
+    def _check_not_joined(self, content: bytes) -> None:
+        """Break the stream if a part of the head holds a status line."""
+        # Most parts fail the test that needs no regular expression.
+        if _VERSION in content and _STATUS_LINE.search(content):
+            self.stream = StreamState.BROKEN
+            raise _StopParser
+
     def _announces_close(self) -> bool:
         """Whether the head says that the connection ends with the reply."""
         options = {
--- a/tests/test_gateway_connections.py
+++ b/tests/test_gateway_connections.py
@@ -223,6 +223,42 @@
         assert transport.closed, second[:cut]
 
 
+FAILURE = reply_bytes(b'broken').replace(b'200 OK', b'500 Internal Error')
+
+
+@pytest.mark.parametrize('second', SECOND_REPLIES[::2])
+@pytest.mark.parametrize('answer', [reply_bytes(b'whole'), FAILURE])
+def test_late_cut_reply_never_changes_the_reply_in_progress(second, answer):
+    """Guards against joining a cut reply and the reply behind it.
+
+    The start of another reply arrives after the next request was sent, where
+    only the bytes themselves tell that two replies are joined.
+    """
+    for cut, split in itertools.product(
+        range(1, len(second)), (0, *range(5, 25, 2))
+    ):
+        connection, _, _ = open_server_connection()
+        outcomes = send_attempt(connection)
+        connection.data_received(second[:cut])
+        connection.data_received(answer[:split])
+        connection.data_received(answer[split:])
+        connection.connection_lost(None)
+        assert len(outcomes) == 1, second[:cut]
+        if isinstance(outcomes[0], Reply):
+            assert b' %d ' % outcomes[0].status in answer, second[:cut]
+            assert outcomes[0].ran, second[:cut]
+            assert outcomes[0].stamp == 's', second[:cut]
+
+
+def test_reply_that_names_a_protocol_version_is_accepted():
+    """Guards the check for joined replies against usual header values."""
+    connection, _, _ = open_server_connection()
+    outcomes = send_attempt(connection)
+    extra = b'Via: HTTP/1.1 proxy\r\nServer: SimpleHTTP/0.6 Python/3.11\r\n'
+    connection.data_received(reply_bytes(extra=extra))
+    assert outcomes[0].body == b'abc'
+
+
 @given(st.integers(0, 80))
 def test_late_copy_inside_the_answer_does_not_complete_it(position):
     connection, transport, _ = open_server_connection()
