A read of the store is as new as its oldest page (DRAIN)

Cause: the first read of a process accepts old answers, page by page, and took the first page's revision for that of all. Changes to the keys of an older page, made between the two revisions, were in no page and in no watch.

Ruled out: an older entry of another VM (all began empty); a watch that loses the report (it starts above it).

Change: the position is the lowest revision of the pages, and the watch from there brings the rest. The number and kind of calls is the same.

--- a/src/dandelionstage/platform/store_client.py
+++ b/src/dandelionstage/platform/store_client.py
@@ -81,8 +81,9 @@
     async def read_all(self, *, allow_stale: bool) -> list[Page]:
         """Read every item, page by page.
 
-        The pages are not a snapshot: a watch from the first page's revision
-        returns what changed during the read.
+        The pages are not a snapshot: each has a revision of its own, in any
+        order if the answers may be stale.  A watch from the lowest of them
+        returns what some pages lack.
 
         :param allow_stale: accept an answer that is seconds old; it costs
             the store a tenth of a current one.
--- a/src/dandelionstage/platform/store_reader.py
+++ b/src/dandelionstage/platform/store_reader.py
@@ -155,9 +155,9 @@
         pages = await self._client.read_all(allow_stale=is_first)
         self._note_success()
         items = [item for page in pages for item in page.items]
-        # Later pages may be newer; all of them include the changes up to
-        # the first page's revision.
-        as_of = pages[0].as_of
+        # The store may answer each page as of another revision; only the
+        # changes up to the oldest of them are in all pages.
+        as_of = min(page.as_of for page in pages)
         if as_of >= self._catalog.as_of:
             missing = self._catalog.keys_missing_from(
                 item.key for item in items
