A page without items that names more is invalid

What callers would see: none seen. Such a page ended the read as if it were whole, and all keys behind it would have been removed from the catalog.

Cause: the key to go on from is that of the last item, and no key means the end.

Test: test_empty_page_with_more_behind_it_is_no_page, failed before.

--- a/src/dandelionstage/platform/store_bodies.py
+++ b/src/dandelionstage/platform/store_bodies.py
@@ -81,7 +81,9 @@
     """
     page = msgspec.json.decode(body, type=_PageBody)
     items = [_decode_item(each, era) for each in page.items]
-    last_key = items[-1].key if page.has_more and items else ''
+    if page.has_more and not items:
+        raise ValueError('a page that is not the last has no items')
+    last_key = items[-1].key if page.has_more else ''
     return Page(items, position(era, page.as_of), last_key)
 
 
--- a/tests/test_cut_replies.py
+++ b/tests/test_cut_replies.py
@@ -7,6 +7,7 @@
 
 from dandelionstage.gateway.reply_reader import ReplyReader
 from dandelionstage.platform.names import HEADERS
+from dandelionstage.platform.store_bodies import decode_page
 from dandelionstage.platform.store_client import StoreClient, StoreUnavailable
 
 from .gateway_harness import HEADER_NAMES
@@ -136,3 +137,9 @@
 
     assert asyncio.run(read_twice()) == [7, 7]
     assert len(connections) == 2
+
+
+def test_empty_page_with_more_behind_it_is_no_page():
+    """Guards against a read that ends early and lacks most entries."""
+    with pytest.raises(ValueError, match='no items'):
+        decode_page(b'{"items":[],"hasMore":true,"asOf":7}', 0)
