A read that another source overtakes adds no server that has left (DRAIN)

What callers would see: a server that has left is used again until its entry comes again.

Cause: a first read is on its way while the VM gets the newer catalog of another VM, which was started later and does not remember the removal. The read then lists the server again, and the watch starts above the removal. The same holds for the answer to a watch, and for a catalog of another VM that the store's overtakes.

Ruled out: items that the catalog knows or remembers (their revisions tell).

Change: an answer that is not newer than the catalog adds no entry that the catalog lacks, unless the entry itself is newer.

--- a/src/dandelionstage/catalog/catalog.py
+++ b/src/dandelionstage/catalog/catalog.py
@@ -187,6 +187,29 @@
         known = self._items.keys() | self._older.keys()
         return sorted(known - frozenset(keys))
 
+    def without_removed(
+        self, items: Iterable[CatalogItem], as_of: StoreRevision
+    ) -> list[CatalogItem]:
+        """Return items of a source without the entries removed since.
+
+        The catalog may have become newer than a source while its answer was
+        on the way.  It is complete, so an entry of before that it lacks has
+        been removed, also if it does not remember the removal.
+
+        :param as_of: store revision that the answer is complete up to.
+        """
+        if as_of > self.as_of:
+            return list(items)
+        known = self._items.keys() | self._older.keys()
+        return [
+            item
+            for item in items
+            if item.raw is None
+            or item.is_older
+            or item.revision > self.as_of
+            or item.key in known
+        ]
+
     def revision_of(self, key: str) -> StoreRevision:
         """Return the revision of the last change of a key, 0 if unknown."""
         item = self._items.get(key)
--- a/src/dandelionstage/platform/store_reader.py
+++ b/src/dandelionstage/platform/store_reader.py
@@ -170,7 +170,9 @@
     def _apply(self, items: list[CatalogItem], as_of: StoreRevision) -> None:
         at_ms = now_ms()
         self._catalog.note_era(as_of)
-        confirmed = self._deferred_removals.filter_items(items, at_ms)
+        confirmed = self._deferred_removals.filter_items(
+            self._catalog.without_removed(items, as_of), at_ms
+        )
         confirmed += self._deferred_removals.pop_due(at_ms)
         self._last_read_revision = max(self._last_read_revision, as_of)
         # Other VMs learn of a deferred removal when it is confirmed, so
--- a/src/dandelionstage/spread/pulls.py
+++ b/src/dandelionstage/spread/pulls.py
@@ -155,7 +155,9 @@
             )
             items += [CatalogItem(key, as_of, None) for key in missing]
             self._catalog.note_complete_read(as_of)
-        changed = self._catalog.apply(items, as_of)
+        changed = self._catalog.apply(
+            self._catalog.without_removed(items, as_of), as_of
+        )
         routes = self._catalog.routes
         self._log.event(
             'catalog_pulled',
--- a/tests/test_store_reads.py
+++ b/tests/test_store_reads.py
@@ -2,18 +2,24 @@
 
 import asyncio
 from random import Random
+from unittest.mock import AsyncMock
 
 import pytest
 
 from dandelionstage.catalog.catalog import Catalog, CatalogItem
 from dandelionstage.catalog.positions import StoreRevision
 from dandelionstage.gateway.clock import now_ms
+from dandelionstage.model.ids import VmId
 from dandelionstage.operations.events import EventLog
 from dandelionstage.platform.entry_parser import EntryParser
 from dandelionstage.platform.store_bodies import Page, WatchResult
 from dandelionstage.platform.store_reader import StoreReader
 from dandelionstage.spread.members import Address, Members
-from dandelionstage.model.ids import VmId
+from dandelionstage.spread.pulls import (
+    Puller,
+    PullLimits,
+    build_pull_reply,
+)
 
 OWN = Address(VmId('127.0.0.1:7380'))
 KEYS = tuple('servers/i-{0}'.format(number) for number in range(6))
@@ -79,14 +85,19 @@
         return WatchResult(items, self.revision)
 
 
+def make_reader(store):
+    log = EventLog(len, now_ms)
+    catalog = Catalog(EntryParser(log))
+    members = Members(OWN, 'a')
+    return catalog, StoreReader(store, catalog, members, log, Random(1))
+
+
 def read_until_caught_up(store):
     """Run a reader on an empty catalog for some watches."""
 
-    log = EventLog(len, now_ms)
-    catalog = Catalog(EntryParser(log))
+    catalog, reader = make_reader(store)
 
     async def scenario():
-        reader = StoreReader(store, catalog, Members(OWN, 'a'), log, Random(1))
         task = asyncio.create_task(reader.run())
         while catalog.as_of < store.revision:
             await asyncio.sleep(0.05)
@@ -127,3 +138,72 @@
     store.changes += [(LEAVING, None), (KEYS[1], entry())]
     store.ages = ages
     assert len(states(read_until_caught_up(store))) == len(KEYS) - 1
+
+
+def other_vm(store, revision):
+    """The catalog of a VM that was started at a revision of the store."""
+    catalog = Catalog(EntryParser(EventLog(len, now_ms)))
+    catalog.apply(store.items_at(revision).values(), revision)
+    return catalog
+
+
+def make_puller(catalog):
+    log = EventLog(len, now_ms)
+    return Puller(catalog, log, PullLimits.within(150), lambda: None)
+
+
+def pull(catalog, other):
+    """Apply all that another VM knows to a catalog."""
+    reply = build_pull_reply(other, StoreRevision(0))
+    make_puller(catalog)._apply('other', reply)
+
+
+@pytest.mark.parametrize('age', [0, 1, 3])
+@pytest.mark.parametrize('raw', [None, entry('draining')])
+def test_read_that_another_vm_overtakes_restores_no_server(age, raw):
+    """Regression: a server that had left was listed by a read in progress.
+
+    Meanwhile the VM had learned the newer state of another one, which knows
+    nothing of servers that left before it was started.
+    """
+    store = HistoryStore()
+    store.changes += [(LEAVING, raw), (KEYS[1], entry()), (KEYS[1], entry())]
+    newest = store.revision
+    started_later = other_vm(store, newest)
+
+    async def scenario(catalog, reader):
+        pages = await store.read_all(allow_stale=False)
+        store.read_all = AsyncMock(return_value=pages)
+        pull(catalog, started_later)
+        await reader._read_all()
+        assert states(catalog) == states(started_later)
+        assert catalog.as_of == newest
+
+    store.changes = store.changes[: newest - age]
+    catalog, reader = make_reader(store)
+    asyncio.run(scenario(catalog, reader))
+
+
+def test_changes_that_another_vm_overtakes_restore_no_server():
+    """Guards against the same by the answer to a watch."""
+    store = HistoryStore()
+    first = store.revision
+    store.changes += [('servers/i-9', entry())]
+    old_answer = asyncio.run(store.watch(first, 0))
+    store.changes += [('servers/i-9', None)]
+    catalog, reader = make_reader(store)
+    catalog.apply(store.items_at(first).values(), first)
+    pull(catalog, other_vm(store, store.revision))
+    reader._apply(old_answer.items, old_answer.as_of)
+    assert 'i-9' not in catalog.servers
+
+
+def test_pull_that_the_store_overtakes_restores_no_server():
+    """Guards against the same by the answer of another VM."""
+    store = HistoryStore()
+    reply = build_pull_reply(other_vm(store, store.revision), StoreRevision(0))
+    store.changes += [(LEAVING, None)]
+    catalog, reader = make_reader(store)
+    asyncio.run(reader._read_all())
+    make_puller(catalog)._apply('other', reply)
+    assert LEAVING.removeprefix('servers/') not in catalog.servers
