--- a/src/dandelionstage/catalog/catalog.py
+++ b/src/dandelionstage/catalog/catalog.py
@@ -79,6 +79,7 @@
     :ivar routes: version in force, ``None`` before the first one.
     :ivar as_of: store revision up to which the catalog is complete.
     :ivar on_routes: callbacks for a new version of the routes.
+    :ivar on_advanced: callbacks for a later ``as_of``.
     :ivar on_restored: callbacks for a later era of the store.
     :ivar on_server_updated: callbacks for an added or changed server.
     :ivar on_server_removed: callbacks for a removed server.
@@ -92,6 +93,7 @@
         """
         self.routes: RouteTable | None = None
         self.as_of = StoreRevision(0)
+        self.on_advanced: list[Callable[[StoreRevision], None]] = []
         self.on_restored: list[Callable[[StoreRevision], None]] = []
         self.on_routes: list[Callable[[RouteTable], None]] = []
         self.on_server_updated: list[Callable[[ServerRecord], None]] = []
@@ -153,7 +155,10 @@
             if self._is_new(item):
                 self._apply_item(item)
                 applied += 1
-        self.as_of = max(self.as_of, as_of)
+        if as_of > self.as_of:
+            self.as_of = as_of
+            for on_advanced in self.on_advanced:
+                on_advanced(as_of)
         return applied
 
     def note_era(self, as_of: StoreRevision) -> None:
--- a/src/dandelionstage/cli/timeline.py
+++ b/src/dandelionstage/cli/timeline.py
@@ -40,6 +40,7 @@
         'store_history_gone',
         'store_lost',
         'store_regained',
+        'watch_overdue',
     ),
 )
 _EVENT: Final = 'event'
--- a/src/dandelionstage/platform/revision_check.py
+++ b/src/dandelionstage/platform/revision_check.py
@@ -12,25 +12,46 @@
 from .store_client import StoreClient, StoreUnavailable
 from .store_reader import StoreReader
 
-__all__ = ('RevisionCheck',)
+__all__ = ('RevisionCheck', 'check_interval_s')
 
-#: Checks per second of all VMs together, so that the load on the store does
-#: not grow with the fleet; a check costs a tenth of a read.
+#: Checks per second of all VMs but the readers, so that the load on the store
+#: does not grow with the fleet; a check costs a tenth of a read.
 _FLEET_CHECKS_PER_S: Final = 3.0
+#: A check comes this much earlier or later than the mean, so that VMs started
+#: together do not check together.
+_JITTER: Final = 0.15
 #: A change reaches every VM within this time unless a reader has failed.
 _PROPAGATION_S: Final = 0.25
 #: Delay of the first check after the start of the process.
 _STARTUP_DELAY_S: Final = 2.0
 
 
+def check_interval_s(vms: int, reader_interval_s: float | None) -> float:
+    """Return the mean time between the checks of one VM.
+
+    Load pattern: the answers to the watches of all readers are lost, in a
+    fleet of any size, and of one VM or two all are readers.  So each reader
+    checks often enough by itself to find a change in time.  The other VMs do
+    so together, as the store may serve them but not the readers.
+
+    :param vms: VMs that are alive, this one included.
+    :param reader_interval_s: interval if this VM is a reader, else ``None``.
+    """
+    if reader_interval_s is None:
+        return vms / _FLEET_CHECKS_PER_S
+    return reader_interval_s
+
+
 @final
 class RevisionCheck:
-    """Compares the store's revision with the catalog while others read it.
+    """Compares the store's revision with the catalog.
 
-    Two VMs of the fleet are the readers of the store.  If the store answers
-    some VMs but not others, a reader notices it only when its watch times
-    out, and both readers may be affected.  Any other VM that finds the store
-    ahead of its catalog reads the missing changes and passes them on.
+    The answer to a watch may never come, and a reader alone would notice only
+    when its watch times out.  Both readers may be affected.  A VM that finds
+    the store ahead of its catalog reads the missing changes and passes them
+    on; a reader begins another watch.
+
+    :ivar reader_interval_s: mean time between the checks of a reader.
     """
 
     def __init__(
@@ -41,7 +62,12 @@
         reader: StoreReader,
         log: EventLog,
     ) -> None:
-        """Store the arguments; :meth:`run` sends the first request."""
+        """Store the arguments; :meth:`run` sends the first request.
+
+        :param client: used by no other component, as it has one request at a
+            time.
+        """
+        self.reader_interval_s = _STARTUP_DELAY_S
         self._client = client
         self._catalog = catalog
         self._members = members
@@ -52,11 +78,19 @@
         """Check at random times, until cancelled."""
         await asyncio.sleep(_STARTUP_DELAY_S)
         while True:
-            rate_per_s = _FLEET_CHECKS_PER_S / len(self._members)
-            await asyncio.sleep(random.expovariate(rate_per_s))
-            if self._catalog.as_of and not self._members.is_reader(now_ms()):
+            jitter = random.uniform(1 - _JITTER, 1 + _JITTER)
+            await asyncio.sleep(self._interval_s() * jitter)
+            if self._catalog.as_of:
                 await self._check()
 
+    def _interval_s(self) -> float:
+        at_ms = now_ms()
+        is_reader = self._members.is_reader(at_ms)
+        return check_interval_s(
+            len(self._members.alive(at_ms)) + 1,
+            self.reader_interval_s if is_reader else None,
+        )
+
     async def _check(self) -> None:
         try:
             await self._compare()
@@ -65,7 +99,10 @@
 
     async def _compare(self) -> None:
         store_revision = await self._client.read_revision()
-        if store_revision <= self._catalog.as_of:
+        if store_revision <= self._reader.position:
+            return
+        if self._members.is_reader(now_ms()):
+            self._reader.expect_changes(store_revision)
             return
         await asyncio.sleep(_PROPAGATION_S)
         if store_revision > self._catalog.as_of:
@@ -75,4 +112,4 @@
                 store_era=era_of(store_revision),
                 **log_fields(self._catalog.as_of),
             )
-            await self._reader.catch_up()
+            await self._reader.catch_up(self._client)
--- a/src/dandelionstage/platform/settings.py
+++ b/src/dandelionstage/platform/settings.py
@@ -9,8 +9,12 @@
 __all__ = ('BootSettings',)
 
 _CAMEL: Final = 'camel'
-#: Length of a store watch, in stability windows.
-_STABILITY_WINDOWS_PER_WATCH: Final = 2
+#: Length of a store watch, in stability windows, and its upper limit.
+_STABILITY_WINDOWS_PER_WATCH: Final = 6
+_MAX_WATCH_MS: Final = 30_000
+#: Revision checks of a reader of the store in a stability window.
+_CHECKS_PER_STABILITY_WINDOW: Final = 3
+_MS_PER_S: Final = 1000.0
 #: Memory of the smallest VM, assumed if the settings do not state it.
 _DEFAULT_MEMORY_MB: Final = 150.0
 #: Fraction of the memory that unfinished messages may take.
@@ -108,12 +112,25 @@
     def watch_ms(self) -> int:
         """Time in ms that a watch of the store waits for a change.
 
-        A reader whose watch gets no answer does not notice until the watch
-        times out, but other VMs detect earlier that the readers are behind
-        the store.
+        A watch that gets no answer need not time out soon, because a revision
+        check shows earlier that the store has changes for it.
         """
-        return int(
-            self.bounds.stability_window_ms * _STABILITY_WINDOWS_PER_WATCH
+        return min(
+            int(self.bounds.stability_window_ms * _STABILITY_WINDOWS_PER_WATCH),
+            _MAX_WATCH_MS,
+        )
+
+    @property
+    def reader_check_interval_s(self) -> float:
+        """Mean time in s between the revision checks of a reader.
+
+        With watches of the longest length they cost no more than shorter
+        watches alone.
+        """
+        return (
+            self.bounds.stability_window_ms
+            / _CHECKS_PER_STABILITY_WINDOW
+            / _MS_PER_S
         )
 
     @property
--- a/src/dandelionstage/platform/sources.py
+++ b/src/dandelionstage/platform/sources.py
@@ -54,12 +54,20 @@
             PullLimits.within(settings.limits.memory_mb),
         )
         self._client = StoreClient(*host_and_port(settings.platform.address))
+        # The answer to a check must not wait for that to a watch.
+        self._check_client = StoreClient(
+            *host_and_port(settings.platform.address)
+        )
         self._reader = StoreReader(
             self._client, self.catalog, self.spread.members, log, random
         )
         self._reader.on_change = self.spread.announce_changes
         self._revision_check = RevisionCheck(
-            self._client, self.catalog, self.spread.members, self._reader, log
+            self._check_client,
+            self.catalog,
+            self.spread.members,
+            self._reader,
+            log,
         )
         self._older_entries = OlderEntries(settings.entry_expiry_ms)
         self._random = random
@@ -69,6 +77,9 @@
     def apply_settings(self, settings: BootSettings) -> None:
         """Apply the times of the store and the addresses of the seeds."""
         self._reader.watch_ms = settings.watch_ms
+        self._revision_check.reader_interval_s = (
+            settings.reader_check_interval_s
+        )
         self._older_entries.expiry_ms = settings.entry_expiry_ms
         self.spread.replace_seeds(
             _address(settings, host_and_port(seed)[0])
@@ -77,6 +88,7 @@
 
     async def _open(self, stack: AsyncExitStack) -> None:
         stack.callback(self._client.close)
+        stack.callback(self._check_client.close)
         await stack.enter_async_context(self.spread)
         read_task = start_supervised(
             'store reader', self._reader.run, self._log
--- a/src/dandelionstage/platform/store_reader.py
+++ b/src/dandelionstage/platform/store_reader.py
@@ -3,15 +3,17 @@
 import asyncio
 import math
 from collections.abc import Callable
+from dataclasses import dataclass
 from random import Random
 from typing import Final, final
 
 from ..catalog.catalog import Catalog, CatalogItem
 from ..catalog.deferred_removals import DeferredRemovals
-from ..catalog.positions import StoreRevision, log_fields
+from ..catalog.positions import StoreRevision, log_fields, revision_of
 from ..gateway.clock import now_ms
 from ..operations.events import EventLog
 from ..spread.members import Members
+from .store_bodies import WatchResult
 from .store_client import HistoryGone, StoreClient, StoreUnavailable
 
 __all__ = ('StoreReader',)
@@ -27,6 +29,9 @@
 _FIRST_READ_JITTER_S: Final = 0.2
 #: Length of a watch for changes that the store already has.
 _IMMEDIATE_WATCH_MS: Final = 1
+#: Time for the answer to a watch once the store has changes for it; a slow
+#: store takes 0.4 s.
+_CHANGES_DUE_MS: Final = 900.0
 #: How often a VM checks whether it is a reader.
 _ROLE_CHECK_INTERVAL_S: Final = 0.2
 #: Upper bounds of the random delay between attempts while the store fails.
@@ -35,17 +40,41 @@
 #: Doublings after which the delay is at its maximum; a power of a larger
 #: number exceeds the range of a float.
 _MAX_DOUBLINGS: Final = 16
+_MS_PER_S: Final = 1000.0
 #: A VM that lost the store while others reach it may become a reader again
 #: after this time.
 _RETRY_READING_AFTER_MS: Final = 8000.0
 
 
+class _WatchOverdue(Exception):  # noqa: N818 -- no error
+    """A watch did not return the changes that the store has."""
+
+
+@final
+@dataclass(slots=True)
+class _Watch:
+    """A watch in progress.
+
+    :ivar after: revision after which it returns changes.
+    :ivar is_expected: whether the store is known to have changes for it.
+    :ivar is_overdue: whether it was ended because they did not come.
+    """
+
+    after: StoreRevision
+    is_expected: bool = False
+    is_overdue: bool = False
+
+
 @final
 class StoreReader:  # noqa: WPS214 -- one task in short methods
     """Reads all items once, then their changes.
 
     The store counts as lost while it gives no valid answer.
 
+    The answer to a watch may be lost, for example if the store is silent for
+    a moment.  If the store is known to have changes for a watch, from another
+    VM or from a check, the watch must be answered soon, or another one begins.
+
     :ivar watch_ms: how long the store may wait for a change in a watch, in
         ms; a watch that gets no answer at all times out a little later.
     :ivar on_change: called after each change of the catalog.
@@ -76,7 +105,9 @@
         self._last_failure_ms: float = 0
         # Ahead of the catalog's revision while a removal is deferred.
         self._last_read_revision = StoreRevision(0)
+        self._watch: _Watch | None = None
         catalog.on_restored.append(self._note_restored)
+        catalog.on_advanced.append(self.expect_changes)
 
     async def run(self) -> None:
         """Read the store while this VM is a reader, until cancelled."""
@@ -90,18 +121,37 @@
                 self._restore_eligibility()
                 await asyncio.sleep(_ROLE_CHECK_INTERVAL_S)
 
-    async def catch_up(self) -> None:
+    @property
+    def position(self) -> StoreRevision:
+        """Revision up to which this VM has read or learned the changes."""
+        return max(self._catalog.as_of, self._last_read_revision)
+
+    def expect_changes(self, as_of: StoreRevision) -> None:
+        """End the watch in progress unless it returns the changes soon.
+
+        :param as_of: revision that the store is known to have.
+        """
+        watch = self._watch
+        if watch is None or watch.after >= as_of or watch.is_expected:
+            return
+        watch.is_expected = True
+        asyncio.get_running_loop().call_later(
+            _CHANGES_DUE_MS / _MS_PER_S, self._end_overdue, watch, as_of
+        )
+
+    async def catch_up(self, client: StoreClient) -> None:
         """Read the changes although this VM is not a reader.
 
+        :param client: sends the requests, as a watch may be in progress.
         :raises StoreUnavailable: if the store gives no valid answer.
         """
         as_of = self._catalog.as_of
         try:
-            result = await self._client.watch(as_of, _IMMEDIATE_WATCH_MS)
+            result = await client.watch(as_of, _IMMEDIATE_WATCH_MS)
         except HistoryGone:
             # The watches of the readers have failed for the same reason.
             self._log.event('store_history_gone', **log_fields(as_of))
-            await self._read_all()
+            await self._read_all(client)
         else:
             self._apply(result.items, result.as_of)
 
@@ -116,7 +166,7 @@
             await asyncio.sleep(self._random.uniform(0, _FIRST_READ_JITTER_S))
         if not self._catalog.as_of:
             try:
-                await self._read_all()
+                await self._read_all(self._client)
             except StoreUnavailable as fault:
                 self._log.event('store_lost', fault=str(fault), as_of=0)
         await asyncio.sleep(_STARTUP_WAIT_S)
@@ -134,14 +184,16 @@
             self._must_read_all = True
         except StoreUnavailable as fault:
             await self._back_off(str(fault))
+        except _WatchOverdue:
+            # The answer was lost; a short watch shows whether the store is.
+            self._watch_succeeded = False
 
     async def _read_changes(self) -> None:
         if self._must_read_all or not self._catalog.as_of:
-            await self._read_all()
+            await self._read_all(self._client)
             self._must_read_all = False
             self._has_just_read_all = True
-        after = max(self._catalog.as_of, self._last_read_revision)
-        result = await self._client.watch(after, self._next_watch_ms())
+        result = await self._wait_for_changes()
         self._has_just_read_all = False
         self._note_success()
         self._watch_succeeded = True
@@ -149,10 +201,37 @@
         if result.items:
             await asyncio.sleep(_BATCH_DELAY_S)
 
-    async def _read_all(self) -> None:
+    async def _wait_for_changes(self) -> WatchResult:
+        """Watch the store.
+
+        :raises _WatchOverdue: if the store had changes for this watch, and
+            the one before was answered.
+        """
+        watch = _Watch(self.position)
+        self._watch = watch
+        try:
+            return await self._client.watch(watch.after, self._next_watch_ms())
+        except StoreUnavailable:
+            if watch.is_overdue and self._watch_succeeded:
+                raise _WatchOverdue from None
+            raise
+        finally:
+            self._watch = None
+
+    def _end_overdue(self, watch: '_Watch', as_of: StoreRevision) -> None:
+        if self._watch is watch:
+            self._log.event(
+                'watch_overdue',
+                store_is_at=revision_of(as_of),
+                **log_fields(watch.after),
+            )
+            watch.is_overdue = True
+            self._client.close()
+
+    async def _read_all(self, client: StoreClient) -> None:
         """Read every item; remove catalog keys that the store lacks."""
         is_first = not self._catalog.as_of
-        pages = await self._client.read_all(allow_stale=is_first)
+        pages = await client.read_all(allow_stale=is_first)
         self._note_success()
         items = [item for page in pages for item in page.items]
         # The store may answer each page as of another revision; only the
--- a/tools/standins/platform/store.py
+++ b/tools/standins/platform/store.py
@@ -67,6 +67,7 @@
         self._items: dict[str, tuple[int, bytes]] = {}
         self._history: list[tuple[int, str, bytes | None]] = []
         self._forgotten = 0
+        self._losses = 0
         self._changed = asyncio.Event()
         self._port = HttpPort(host, port, self._serve)
 
@@ -102,6 +103,10 @@
         self.forget_history()
         self.cut_all()
 
+    def lose_answers(self) -> None:
+        """Never answer the calls that wait, watches too."""
+        self._losses += 1
+
     def cut_all(self) -> None:
         """Reset every connection."""
         self._port.cut_all()
@@ -118,6 +123,13 @@
         self._changed = asyncio.Event()
 
     async def _serve(self, asked: Asked) -> bytes:
+        losses = self._losses
+        answer = await self._handle(asked)
+        if self._losses > losses:
+            await asyncio.Event().wait()
+        return answer
+
+    async def _handle(self, asked: Asked) -> bytes:
         target = urlsplit(asked.target)
         kind = target.path.rpartition('/')[2]
         self.calls[kind] = self.calls.get(kind, 0) + 1
