--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -19,7 +19,10 @@
     """A place in which nothing has happened."""
     life = Life(0.0)
     services = {'i-1': 's0', 'i-2': 's1', 'i-3': 's2', 'i-4': ORDERS}
-    servers = {name: SimpleNamespace(runs=[], arrived=[]) for name in services}
+    servers = {
+        name: SimpleNamespace(runs=[], arrived=[], statuses={})
+        for name in services
+    }
     return SimpleNamespace(
         platform=SimpleNamespace(servers=servers),
         vms=[SimpleNamespace(host='h', lives=[life])],
@@ -48,6 +51,8 @@
 
 
 def query(place, stamps, missing, body=None):
+    for stamp in stamps:
+        give(place, stamp, 200)
     records = [each.encode().ljust(16, b'.') for each in (*stamps, *stamps)]
     return make_asked(
         place,
@@ -60,6 +65,12 @@
     )
 
 
+def give(place, stamp, status):
+    """Let a server sign an answer."""
+    server = place.platform.servers[stamp.partition('.')[0]]
+    server.statuses.setdefault(stamp, status)
+
+
 def run(place, request='r1'):
     server = place.platform.servers['i-4']
     server.runs.append(Run(request, 'GET', '/o/x', b'', 100.0))
@@ -101,6 +112,24 @@
     assert check(place, query(place, ('i-1.1', 'i-3.1'), 1, b'x' * 64))
 
 
+@pytest.mark.parametrize(
+    ('told', 'given'), [(200, 500), (400, 200), (500, 200)]
+)
+def test_other_status_than_the_server_gave_is_found(told, given):
+    place = make_place()
+    signed = {'x-response-stamp': 'i-4.1'}
+    assert check(place, make_asked(place, status=told, headers=signed))
+    give(place, 'i-4.1', given)
+    assert check(place, make_asked(place, status=told, headers=signed))
+    assert not check(place, make_asked(place, status=given, headers=signed))
+
+
+def test_part_that_failed_is_found():
+    place = make_place()
+    give(place, 'i-2.4', 500)
+    assert check(place, query(place, ('i-1.1', 'i-2.4', 'i-3.1'), 0))
+
+
 def test_second_run_is_found():
     place = make_place()
     run(place)
@@ -155,7 +184,9 @@
     for number in range(5, 8):
         name = 'i-{0}'.format(number)
         place.service_of[name] = 's0'
-        place.platform.servers[name] = SimpleNamespace(runs=[], arrived=[])
+        place.platform.servers[name] = SimpleNamespace(
+            runs=[], arrived=[], statuses={}
+        )
     for request in ('r1', 'r2', 'r3', 'r4'):
         assert not check(place)
         for number in (1, 5, 6):
--- a/tools/soak/promises.py
+++ b/tools/soak/promises.py
@@ -37,7 +37,7 @@
     runs = _runs_of(place)
     for each in asked:
         yield from _check_order(each, runs)
-        yield from _check_query(each, place)
+        yield from _check_answer(each, place)
         yield from _check_end(each, place)
     yield from _check_versions(place, asked)
     yield from _check_drains(place)
@@ -71,6 +71,28 @@
         )
 
 
+def _check_answer(asked: Asked, place: Place) -> Iterator[str]:
+    yield from _check_status(asked, place)
+    yield from _check_query(asked, place)
+
+
+def _check_status(asked: Asked, place: Place) -> Iterator[str]:
+    """A signed answer has the status that its server gave."""
+    stamp = asked.headers.get('x-response-stamp')
+    if asked.status is None or stamp is None:
+        return
+    given = _status_given(place, stamp)
+    if asked.status != given:
+        yield '{0}: {1} where the server answered {2}'.format(
+            asked.request, asked.status, given
+        )
+
+
+def _status_given(place: Place, stamp: str) -> int | None:
+    server = place.platform.servers.get(stamp.partition('.')[0])
+    return None if server is None else server.statuses.get(stamp)
+
+
 def _check_query(asked: Asked, place: Place) -> Iterator[str]:
     if asked.status != _OK or not asked.path.startswith('/q/'):
         return
@@ -88,6 +110,8 @@
         yield '{0}: {1} parts of {2}'.format(
             asked.request, len(services), count
         )
+    if any(_status_given(place, stamp) != _OK for stamp in stamps):
+        yield '{0}: a part that failed'.format(asked.request)
     if asked.body != _greatest(stamps):
         yield '{0}: not the greatest records'.format(asked.request)
 
--- a/tools/standins/platform/server.py
+++ b/tools/standins/platform/server.py
@@ -11,11 +11,14 @@
 from dandelionstage.lifecycle.resource_owner import ResourceOwner
 
 from .http_port import Asked, HttpPort
+from .stutter import Stutter
 
 __all__ = ('PlatformServer', 'Run', 'ServerMode')
 
 _MS_PER_S: Final = 1000
 _RECORD_BYTES: Final = 16
+#: A server that stutters fails one of so many runs.
+_RUNS_PER_FAILURE: Final = 4
 _STRAY_BODY: Final = b'x' * _RECORD_BYTES
 
 
@@ -34,6 +37,8 @@
     MUTE = 'mute'
     #: Sends an answer to another request first.
     STRAY = 'stray'
+    #: Fails a part of what it runs, and sends the start of second answers.
+    STUTTER = 'stutter'
 
 
 @final
@@ -62,6 +67,7 @@
     :ivar down_s: how long the server is down after that.
     :ivar ended_ms: when it ended.
     :ivar runs: every request that it began.
+    :ivar statuses: the status of each signed answer, by signature.
     :ivar arrived: when requests came, and their ids; refused ones too.
     :ivar at_work: requests that it works on now.
     """
@@ -77,6 +83,8 @@
         self._restart: asyncio.Task[None] | None = None
         self.server = server
         self.runs: list[Run] = []
+        self.statuses: dict[str, HTTPStatus] = {}
+        self._stutter = Stutter()
         self.arrived: list[tuple[float, str]] = []
         self.at_work = 0
         self.address = '{0}:{1}'.format(*address)
@@ -145,6 +153,8 @@
             self.runs.append(
                 Run(request, asked.method, asked.target, asked.body, left_ms)
             )
+            # Several runs may be in progress; each has a signature of its own.
+            stamp = '{0}.{1}'.format(self.server, len(self.runs))
             if self.mode is ServerMode.MUTE:
                 await asyncio.Event().wait()
             await asyncio.sleep(min(self.work_ms, left_ms) / _MS_PER_S)
@@ -152,25 +162,37 @@
             self.end()
             return b''
         if self.work_ms > left_ms:
-            return _reply(
-                HTTPStatus.GATEWAY_TIMEOUT, request, stamp=self._stamp()
-            )
-        return self._finished(request)
+            return self._failed(HTTPStatus.GATEWAY_TIMEOUT, request, stamp)
+        return self._finished(request, stamp)
 
-    def _finished(self, request: str) -> bytes:
+    def _finished(self, request: str, stamp: str) -> bytes:
         if self.mode is ServerMode.LOSE:
             return b'reset'
         if self.mode is ServerMode.FAIL:
-            return _reply(
-                HTTPStatus.INTERNAL_SERVER_ERROR, request, stamp=self._stamp()
+            return self._failed(
+                HTTPStatus.INTERNAL_SERVER_ERROR, request, stamp
             )
-        name = self._stamp().encode()
-        body = name.ljust(_RECORD_BYTES, b'.')[:_RECORD_BYTES] * 2
+        if self.mode is not ServerMode.STUTTER:
+            return self._succeeded(request, stamp)
+        is_failed = len(self.runs) % _RUNS_PER_FAILURE == 0
+        return self._stutter.spoil(
+            self._failed(HTTPStatus.INTERNAL_SERVER_ERROR, request, stamp)
+            if is_failed
+            else self._succeeded(request, stamp)
+        )
+
+    def _failed(self, status: HTTPStatus, request: str, stamp: str) -> bytes:
+        self.statuses[stamp] = status
+        return _reply(status, request, stamp=stamp)
+
+    def _succeeded(self, request: str, stamp: str) -> bytes:
+        self.statuses[stamp] = HTTPStatus.OK
+        body = stamp.encode().ljust(_RECORD_BYTES, b'.')[:_RECORD_BYTES] * 2
         whole = _reply(
             HTTPStatus.OK,
             request,
             body,
-            stamp=self._stamp(),
+            stamp=stamp,
             extra=self._limit_header(),
         )
         if self.mode is ServerMode.STRAY:
@@ -182,9 +204,6 @@
             return ''
         return 'Server-Limit: {0}'.format(self.limit_per_s)
 
-    def _stamp(self) -> str:
-        return '{0}.{1}'.format(self.server, len(self.runs))
-
 
 def _refusal(status: HTTPStatus, request: str) -> bytes:
     """Say that a request was not run."""
