An idle timeout with too many digits states none

What callers would see: the next request on the connection raises OverflowError, and its caller gets no answer from a server before the deadline.

Cause: `Keep-Alive: timeout=` of any length became an integer, and was compared with a float. With 5,000 digits the reply itself was refused.

--- a/tests/test_gateway_connections.py
+++ b/tests/test_gateway_connections.py
@@ -325,6 +325,17 @@
     assert not connection.is_reusable(connection._idle_since_ms + 9500)
 
 
+@pytest.mark.parametrize('digits', [10, 400, 5000])
+def test_timeout_that_is_too_large_states_none(digits):
+    """Regression: the next request of any caller raised an OverflowError."""
+    connection, _, _ = open_server_connection()
+    outcomes = send_attempt(connection)
+    header = b'Keep-Alive: timeout=%b\r\n' % (b'9' * digits)
+    connection.data_received(reply_bytes(extra=header))
+    assert outcomes[0].body == b'abc'
+    assert connection.is_reusable(connection._idle_since_ms + 1000)
+
+
 def test_reply_without_a_request_id_is_reported_with_empty_id():
     request_ids = []
     reader = ReplyReader(
