Whatever an entry of another writer holds, the others are read (RECOVER, CONFIG)

Cause: the decoder raises RecursionError for deep lists, which was not caught; the task of the reader failed each 0.5 s. The reader noted its position before applying changes, so what came behind the entry in a batch was skipped. Ports were not checked: connecting raised OverflowError, and the attempt ended at its deadline. Hosts could be names, ids could hold line ends, counts could be of 400 digits, which no message between VMs holds.

Ruled out: numbers of 5,000 digits and fractions (the decoder refuses them); arbitrary bytes and fields of other types, of the sizes that are generated.

Change: an entry that raises anything is logged in a bounded line and names no server; addresses, ids and counts are checked; the position is noted last.

--- a/src/dandelionstage/platform/config_bodies.py
+++ b/src/dandelionstage/platform/config_bodies.py
@@ -1,6 +1,6 @@
 """JSON bodies that operators and backend servers write to the store."""
 
-from typing import Final, final
+from typing import Annotated, Final, final
 
 import msgspec
 
@@ -10,6 +10,9 @@
 
 #: Field names on the wire are in camel case.
 _CAMEL: Final = 'camel'
+_MAX_INT64: Final = 9_223_372_036_854_775_807
+#: An integer that every encoding of messages between VMs can hold.
+_Count = Annotated[int, msgspec.Meta(ge=0, le=_MAX_INT64)]
 #: Limits on callers where the configuration gives none.
 _DEFAULT_LIMITS: Final = CallerLimits()
 
@@ -98,8 +101,8 @@
     service: str
     address: str
     zone: str
-    slots: int
+    slots: _Count
     state: str
     warmup_left_ms: float = 0
-    born: int = 0
-    seq: int = 0
+    born: _Count = 0
+    seq: _Count = 0
--- a/src/dandelionstage/platform/entry_parser.py
+++ b/src/dandelionstage/platform/entry_parser.py
@@ -20,9 +20,11 @@
 from ..catalog.servers import ServerId, ServerRecord, ServerState
 from ..operations.events import EventLog
 from .config_bodies import ConfigBody, RouteBody, ServerBody
+from .server_address import check_server_id, parse_address
 
 __all__ = ('EntryParser',)
 
+_MAX_FAULT_CHARS: Final = 200
 _ROUTES_KEY: Final = 'op/config'
 _SERVERS_PREFIX: Final = 'servers/'
 _SERVER_STATES: Final = MappingProxyType(
@@ -41,7 +43,8 @@
     unless the key was removed.
 
     An invalid entry is ignored; the last valid value of its key stays in
-    force until a valid entry arrives or the key is removed.
+    force until a valid entry arrives or the key is removed.  Whatever an
+    entry holds, those behind it are read.
     """
 
     def __init__(self, log: EventLog) -> None:
@@ -52,12 +55,13 @@
         """Return the change an entry makes; empty if invalid or not used."""
         try:
             return _parse_entry(entry)
-        except (msgspec.MsgspecError, ValueError) as fault:
+        except Exception as fault:
+            # Decoders raise other errors too, for example RecursionError.
             self._log.event(
                 'entry_unreadable',
                 key=entry.key,
                 revision=entry.revision,
-                fault=str(fault),
+                fault=str(fault)[:_MAX_FAULT_CHARS],
             )
             return Change()
 
@@ -75,18 +79,15 @@
 
 def _parse_server(server: ServerId, raw: bytes) -> ServerRecord:
     body = msgspec.json.decode(raw, type=ServerBody)
-    host, _, port = body.address.rpartition(':')
+    check_server_id(server)
     if body.state not in _SERVER_STATES:
         raise ValueError('unknown server state {0!r}'.format(body.state))
-    if not host or not port.isdigit():
-        raise ValueError(
-            'bad server address {0!r}, expected host:port'.format(body.address)
-        )
+    host, port = parse_address(body.address)
     return ServerRecord(
         server=server,
         service=ServiceId(body.service),
         host=host,
-        port=int(port),
+        port=port,
         data_centre=body.zone,
         slots=body.slots,
         state=_SERVER_STATES[body.state],
--- a/src/dandelionstage/platform/store_reader.py
+++ b/src/dandelionstage/platform/store_reader.py
@@ -247,19 +247,17 @@
         self._apply(items, as_of)
 
     def _apply(self, items: list[CatalogItem], as_of: StoreRevision) -> None:
-        at_ms = now_ms()
         self._catalog.note_era(as_of)
-        confirmed = self._deferred_removals.filter_items(
-            self._catalog.without_removed(items, as_of), at_ms
-        )
-        confirmed += self._deferred_removals.pop_due(at_ms)
-        self._last_read_revision = max(self._last_read_revision, as_of)
+        confirmed = self._confirm(self._catalog.without_removed(items, as_of))
+        read_revision = max(self._last_read_revision, as_of)
         # Other VMs learn of a deferred removal when it is confirmed, so
         # until then this VM announces only the revision before it.
         known_revision = self._deferred_removals.revision_before_deferred(
-            self._last_read_revision
+            read_revision
         )
         changed = self._catalog.apply(confirmed, known_revision)
+        # After an unexpected error the same changes are read again.
+        self._last_read_revision = read_revision
         if changed:
             routes = self._catalog.routes
             self._log.event(
@@ -272,6 +270,12 @@
             )
             self.on_change()
 
+    def _confirm(self, items: list[CatalogItem]) -> list[CatalogItem]:
+        """Defer removals after an outage and return what is to be applied."""
+        at_ms = now_ms()
+        confirmed = self._deferred_removals.filter_items(items, at_ms)
+        return confirmed + self._deferred_removals.pop_due(at_ms)
+
     def _note_restored(self, as_of: StoreRevision) -> None:
         """Defer removals, as what was written since the copy is written again.
 
