A VM that never replies to a pull does not hold up the others (CONFIG)

What callers would see: none seen. VMs that died or were paused just after they had announced changes cost 2 s each before another one is asked; two in a row exceed configApplyMs.

Cause: one pull at a time, and the answer to a call may never come.

Evidence: a test with one or two VMs that take connections and never reply, and one that does; no catalog within 1 and 3 s.

Change: after 0.5 s the next VM is asked, while the first may still reply; two pulls at a time at most, and no VM twice.

Tests: test_vms_that_never_reply_do_not_hold_up_a_pull (2 of 2 cases failed before); test_vm_that_is_slow_to_reply_is_not_asked_again_meanwhile guards the load.

Finding while writing them: pytest ended with "SystemError: AST constructor recursion depth mismatch", 4 of 4 runs. Traced: connections that the test left open were finalized while pytest compiled a source line for its report; the tests now close them, 3 of 3 runs without it.

--- a/src/dandelionstage/spread/pulls.py
+++ b/src/dandelionstage/spread/pulls.py
@@ -29,6 +29,10 @@
 
 #: Time limit for a whole pull, on both sides.
 _TIMEOUT_S: Final = 2.0
+#: Another VM is asked too if one has not replied within this time.
+_LATE_REPLY_S: Final = 0.5
+#: Pulls in progress at a time: each holds a received catalog.
+_MAX_PULLS: Final = 2
 #: Fastest compression of zlib.
 _COMPRESSION_LEVEL: Final = 1
 #: A request holds only two numbers.
@@ -73,8 +77,12 @@
 
 
 @final
-class Puller:
-    """Pulls items until the catalog is as new as that of any known VM."""
+class Puller:  # noqa: WPS214 -- short methods
+    """Pulls items until the catalog is as new as that of any known VM.
+
+    A VM that has died or is paused never replies, so another one is asked
+    meanwhile.
+    """
 
     def __init__(
         self,
@@ -94,13 +102,14 @@
         self._on_change = on_change
         self._newer_peers: dict[Address, int] = {}
         self._task: asyncio.Task[None] | None = None
+        self._pulls: dict[Address, asyncio.Task[None]] = {}
 
     def pull_if_newer(self, peer: Address, as_of: int) -> None:
         """Pull from a VM if its catalog is newer.
 
         :param as_of: store revision up to which that catalog is complete.
         """
-        if as_of <= self._catalog.as_of:
+        if as_of <= self._catalog.as_of or peer in self._pulls:
             return
         self._newer_peers[peer] = as_of
         if self._task is None or self._task.done():
@@ -108,16 +117,29 @@
             self._task = loop.create_task(self._pull_all())
 
     def cancel(self) -> None:
-        """Cancel the pull in progress, if any."""
+        """Cancel the pulls in progress, if any."""
         if self._task is not None:
             self._task.cancel()
+        for pull in self._pulls.values():
+            pull.cancel()
 
     async def _pull_all(self) -> None:
         """Pull from the VM with the newest catalog until none is newer."""
         while self._newer_peers:
             peer = max(self._newer_peers, key=self._newer_peers.__getitem__)
             if self._newer_peers.pop(peer) > self._catalog.as_of:
-                await self._pull_from(peer)
+                await self._start_pull(peer)
+
+    async def _start_pull(self, peer: Address) -> None:
+        """Pull from a VM; return when another pull may start."""
+        pull = asyncio.get_running_loop().create_task(self._pull_from(peer))
+        self._pulls[peer] = pull
+        pull.add_done_callback(lambda _: self._pulls.pop(peer, None))
+        await asyncio.wait((pull,), timeout=_LATE_REPLY_S)
+        if len(self._pulls) >= _MAX_PULLS:
+            await asyncio.wait(
+                self._pulls.values(), return_when=asyncio.FIRST_COMPLETED
+            )
 
     async def _pull_from(self, peer: Address) -> None:
         try:
--- a/tests/test_catalog_pulls.py
+++ b/tests/test_catalog_pulls.py
@@ -1,5 +1,9 @@
 """Catalogs of VMs that restart or return with an older view."""
 
+import asyncio
+import zlib
+from contextlib import AsyncExitStack, asynccontextmanager
+
 import pytest
 
 from dandelionstage.catalog.catalog import Catalog, CatalogItem, Change
@@ -11,6 +15,8 @@
 )
 from dandelionstage.gateway.clock import now_ms
 from dandelionstage.operations.events import EventLog
+from dandelionstage.spread.frames import read_frame, write_frame
+from dandelionstage.spread.members import Address
 from dandelionstage.spread.messages import decode_pull_reply, encode
 from dandelionstage.spread.pulls import (
     PullLimits,
@@ -142,3 +148,77 @@
     receiver.read(('i-7', newest, b'x'))
     receiver._puller._apply('peer', reply)
     assert ('i-7' in receiver.servers) is (newest > 50)
+
+
+class Peer:
+    """A VM that answers pulls, or takes connections and never replies."""
+
+    def __init__(self, vm=None):
+        self.vm = vm
+        self.writers = []
+
+    async def serve(self, reader, writer):
+        self.writers.append(writer)
+        await read_frame(reader, 256)
+        if self.vm is None:
+            await asyncio.Event().wait()
+        reply = build_pull_reply(self.vm.catalog, StoreRevision(0))
+        write_frame(writer, zlib.compress(encode(reply)))
+        await writer.drain()
+        writer.close()
+
+    def close(self):
+        """Close the connections that have no reply."""
+        for writer in self.writers:
+            writer.close()
+
+
+@asynccontextmanager
+async def listening(*peers):
+    async with AsyncExitStack() as stack:
+        addresses = []
+        for peer in peers:
+            server = await asyncio.start_server(peer.serve, '127.0.0.1', 0)
+            stack.callback(server.close)
+            stack.callback(peer.close)
+            port = server.sockets[0].getsockname()[1]
+            addresses.append(Address('127.0.0.1:{0}'.format(port)))
+        yield addresses
+    await asyncio.sleep(0.01)
+
+
+@pytest.mark.parametrize('silent', [1, 2])
+def test_vms_that_never_reply_do_not_hold_up_a_pull(silent):
+    """Regression: each VM that had died just before cost 2 s."""
+
+    async def scenario():
+        newer = Vm()
+        newer.read(*OLD)
+        peers = [*(Peer() for _ in range(silent)), Peer(newer)]
+        receiver = Vm()
+        async with listening(*peers) as addresses:
+            for older_by, address in enumerate(addresses):
+                receiver._puller.pull_if_newer(address, 1000 - older_by)
+            async with asyncio.timeout(1 if silent == 1 else 3):
+                while not receiver.servers:
+                    await asyncio.sleep(0.02)
+            receiver._puller.cancel()
+        assert receiver.servers == newer.servers
+
+    asyncio.run(scenario())
+
+
+def test_vm_that_is_slow_to_reply_is_not_asked_again_meanwhile():
+    """Guards a VM in trouble against the load of repeated pulls."""
+
+    async def scenario():
+        silent = Peer()
+        receiver = Vm()
+        async with listening(silent) as addresses:
+            for _ in range(10):
+                receiver._puller.pull_if_newer(addresses[0], 1000)
+                await asyncio.sleep(0.1)
+            receiver._puller.cancel()
+        assert len(silent.writers) == 1
+
+    asyncio.run(scenario())
