--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -21,6 +21,18 @@
 _Member = TypeVar('_Member', bound=Enum)
 
 _SPELL_S: Final = (0.3, 2.5)
+_MOMENT_S: Final = (0.05, 0.5)
+_LEVELS: Final = 1200
+_ODD_VALUES: Final = (
+    b'{"service":"orders","version":%b%b}' % (b'[' * _LEVELS, b']' * _LEVELS),
+    {
+        'service': 'orders',
+        'address': '127.0.0.1:99999',
+        'zone': 'a',
+        'slots': 1,
+        'state': 'ready',
+    },
+)
 _SLOW_MS: Final = 200.0
 _BAD_MODES: Final = tuple(set(ServerMode) - {ServerMode.WELL})
 _BAD_WAYS: Final = tuple(set(Way) - {Way.OPEN})
@@ -97,6 +109,22 @@
     place.platform.store.forget_history()
 
 
+async def _lose_store_answers(place: Place) -> None:
+    """Lose only the answers that are due, and those of a moment."""
+    began_ms = now_ms()
+    place.platform.store.lose_answers()
+    await asyncio.sleep(place.random.uniform(*_MOMENT_S))
+    place.platform.store.lose_answers()
+    place.store_spells.append((began_ms, now_ms()))
+
+
+async def _write_odd_entry(place: Place) -> None:
+    name = place.random.choice(sorted(place.servers))
+    for number, value in enumerate(_ODD_VALUES):
+        key = 'servers/another-{0}-{1}'.format(number, name)
+        place.platform.store.put(key, value)
+
+
 async def _publish(place: Place) -> None:
     place.publish()
 
@@ -122,6 +150,8 @@
         _spoil_store: 2,
         _spoil_store_way: 2,
         _cut_store: 1,
+        _lose_store_answers: 2,
+        _write_odd_entry: 1,
         _publish: 3,
         _replace_server: 2,
     },
