--- a/src/dandelionstage/gateway/reply_reader.py
+++ b/src/dandelionstage/gateway/reply_reader.py
@@ -24,7 +24,7 @@
 _BODILESS_STATUSES: Final = frozenset((204, 304))
 _FIRST_FINAL_STATUS: Final = 200
 _DECIMAL: Final = re.compile(rb'\d{1,9}(\.\d{0,40})?|\.\d{1,40}')
-_TIMEOUT: Final = re.compile(rb'\d{1,9}')
+_TIMEOUT_SECONDS: Final = re.compile(rb'\d{1,9}')
 _TIMEOUT_PARAMETER: Final = b'timeout='
 _MS_PER_S: Final = 1000
 #: The start of a reply.  Within a head it shows that an earlier reply was cut
@@ -301,7 +301,7 @@
     def _read_keep_alive(self, header: bytes) -> None:
         _, _, parameters = header.partition(_TIMEOUT_PARAMETER)
         digits = parameters.split(b',', 1)[0].strip()
-        if _TIMEOUT.fullmatch(digits):
+        if _TIMEOUT_SECONDS.fullmatch(digits):
             self.idle_timeout_ms = int(digits) * _MS_PER_S
 
 
--- a/src/dandelionstage/platform/revision_check.py
+++ b/src/dandelionstage/platform/revision_check.py
@@ -99,10 +99,12 @@
 
     async def _compare(self) -> None:
         store_revision = await self._client.read_revision()
-        if store_revision <= self._reader.position:
-            return
         if self._members.is_reader(now_ms()):
-            self._reader.expect_changes(store_revision)
+            # A removal that is deferred has been read and is not applied yet.
+            if store_revision > self._reader.position:
+                self._reader.expect_changes(store_revision)
+            return
+        if store_revision <= self._catalog.as_of:
             return
         await asyncio.sleep(_PROPAGATION_S)
         if store_revision > self._catalog.as_of:
--- a/src/dandelionstage/platform/store_reader.py
+++ b/src/dandelionstage/platform/store_reader.py
@@ -31,7 +31,7 @@
 _IMMEDIATE_WATCH_MS: Final = 1
 #: Time for the answer to a watch once the store has changes for it; a slow
 #: store takes 0.4 s.
-_CHANGES_DUE_MS: Final = 900.0
+_CHANGES_DUE_S: Final = 0.9
 #: How often a VM checks whether it is a reader.
 _ROLE_CHECK_INTERVAL_S: Final = 0.2
 #: Upper bounds of the random delay between attempts while the store fails.
@@ -40,7 +40,6 @@
 #: Doublings after which the delay is at its maximum; a power of a larger
 #: number exceeds the range of a float.
 _MAX_DOUBLINGS: Final = 16
-_MS_PER_S: Final = 1000.0
 #: A VM that lost the store while others reach it may become a reader again
 #: after this time.
 _RETRY_READING_AFTER_MS: Final = 8000.0
@@ -136,7 +135,7 @@
             return
         watch.is_expected = True
         asyncio.get_running_loop().call_later(
-            _CHANGES_DUE_MS / _MS_PER_S, self._end_overdue, watch, as_of
+            _CHANGES_DUE_S, self._end_overdue, watch, as_of
         )
 
     async def catch_up(self, client: StoreClient) -> None:
