Checks of the revision count all VMs that may exist, as before

Cause: counted the VMs that were heard from in the last seconds. In a fleet of a hundred, news of a given VM comes every few seconds, so that a part of them counted, and each checked more often.

Test: test_vms_of_which_no_news_came_lately_count_for_the_rate_of_checks, failed before.

--- a/src/dandelionstage/platform/revision_check.py
+++ b/src/dandelionstage/platform/revision_check.py
@@ -34,7 +34,7 @@
     checks often enough by itself to find a change in time.  The other VMs do
     so together, as the store may serve them but not the readers.
 
-    :param vms: VMs that are alive, this one included.
+    :param vms: VMs that may exist, this one included.
     :param reader_interval_s: interval if this VM is a reader, else ``None``.
     """
     if reader_interval_s is None:
@@ -84,10 +84,9 @@
                 await self._check()
 
     def _interval_s(self) -> float:
-        at_ms = now_ms()
-        is_reader = self._members.is_reader(at_ms)
+        is_reader = self._members.is_reader(now_ms())
         return check_interval_s(
-            len(self._members.alive(at_ms)) + 1,
+            len(self._members),
             self.reader_interval_s if is_reader else None,
         )
 
--- a/tests/test_store_reads.py
+++ b/tests/test_store_reads.py
@@ -12,6 +12,7 @@
 from dandelionstage.model.ids import VmId
 from dandelionstage.operations.events import EventLog
 from dandelionstage.platform.entry_parser import EntryParser
+from dandelionstage.platform.revision_check import RevisionCheck
 from dandelionstage.platform.store_bodies import Page, WatchResult
 from dandelionstage.platform.store_reader import StoreReader
 from dandelionstage.spread.members import Address, Members
@@ -184,6 +185,22 @@
     asyncio.run(scenario(catalog, reader))
 
 
+def test_vms_of_which_no_news_came_lately_count_for_the_rate_of_checks():
+    """Regression: in a fleet of 105 VMs, checks came 1.7 times as often.
+
+    In a large fleet, news of a given VM comes every few seconds only.
+    """
+    catalog, reader = make_reader(HistoryStore())
+    members = Members(OWN, 'a')
+    # Three were heard of just now, and 101 others some seconds ago.
+    for number in range(1, 105):
+        vm = Address(VmId('127.0.0.{0}:7380'.format(number + 1)))
+        members.record(vm, 'a', now_ms() - 5000 * (number > 3), has_store=True)
+    members.has_store = False
+    check = RevisionCheck(None, catalog, members, reader, None)
+    assert check._interval_s() == 105 / 3
+
+
 def test_changes_that_another_vm_overtakes_restore_no_server():
     """Guards against the same by the answer to a watch."""
     store = HistoryStore()
