VMs take turns to compare the store's revision (CONFIG)

Cause: gave all VMs the intervals that were meant for readers, the mean varied by 15%. VMs that start together then check together: none in the first 55 s of a fleet of 195, 30 s with 105, 5 s with 20. A VM that became a reader first finished its wait as one of many.

Evidence: replays on virtual time, 3 to 195 VMs: 53 s without a check by any VM that the store serves. Ruled out: the number of calls, which is as computed; fleets of 3 and 4, in which the interval is short.

Change: VMs take turns by the time of day, in the order of a ranking that all know. One check each third of a second, as before; 2.5 s without one are not exceeded.

--- a/src/dandelionstage/platform/revision_check.py
+++ b/src/dandelionstage/platform/revision_check.py
@@ -1,6 +1,8 @@
 """Detects that the readers of the store no longer receive its changes."""
 
 import asyncio
+import time
+from collections.abc import Callable
 from random import Random
 from typing import Final, final
 
@@ -8,18 +10,25 @@
 from ..catalog.positions import era_of, log_fields, revision_of
 from ..gateway.clock import now_ms
 from ..operations.events import EventLog
+from ..routing.rendezvous import rank_vms
 from ..spread.members import Members
 from .store_client import StoreClient, StoreUnavailable
 from .store_reader import StoreReader
 
-__all__ = ('RevisionCheck', 'check_interval_s')
+__all__ = ('RevisionCheck', 'check_interval_s', 'until_turn_s')
 
 #: Checks per second of all VMs but the readers, so that the load on the store
 #: does not grow with the fleet; a check costs a tenth of a read.
 _FLEET_CHECKS_PER_S: Final = 3.0
-#: A check comes this much earlier or later than the mean, so that VMs started
-#: together do not check together.
+#: A check of a reader comes this much earlier or later than the mean, so that
+#: readers started together do not check together.
 _JITTER: Final = 0.15
+#: Key of the rendezvous ranking that determines whose turn it is to check.
+_TURNS_KEY: Final = 'revision checks'
+#: A timer may fire this much before a turn that it waits for.
+_EARLY_TIMER_S: Final = 0.05
+#: How often a VM that waits for its turn looks whether it has become a reader.
+_ROLE_CHECK_INTERVAL_S: Final = 0.5
 #: A change reaches every VM within this time unless a reader has failed.
 _PROPAGATION_S: Final = 0.25
 #: Delay of the first check after the start of the process.
@@ -42,6 +51,21 @@
     return reader_interval_s
 
 
+def until_turn_s(rank: int, interval_s: float, at_s: float) -> float:
+    """Return the time until the next turn of a VM that is not a reader.
+
+    Load pattern: hundreds of VMs start together, and each checks once a
+    minute.  Turns by the time of day keep the checks evenly spaced, without
+    messages; clocks that differ move some of them.
+
+    :param rank: position of the VM in the order in which VMs check.
+    :param interval_s: time between two turns of the same VM.
+    :param at_s: time of day.
+    """
+    wait_s = interval_s - (at_s - rank / _FLEET_CHECKS_PER_S) % interval_s
+    return wait_s if wait_s > _EARLY_TIMER_S else wait_s + interval_s
+
+
 @final
 class RevisionCheck:
     """Compares the store's revision with the catalog.
@@ -54,18 +78,20 @@
     :ivar reader_interval_s: mean time between the checks of a reader.
     """
 
-    def __init__(
+    def __init__(  # noqa: WPS211 -- one for each collaborator
         self,
         client: StoreClient,
         catalog: Catalog,
         members: Members,
         reader: StoreReader,
         log: EventLog,
+        time_of_day_s: Callable[[], float] = time.time,
     ) -> None:
         """Store the arguments; :meth:`run` sends the first request.
 
         :param client: used by no other component, as it has one request at a
             time.
+        :param time_of_day_s: the clock that VMs take turns by.
         """
         self.reader_interval_s = _STARTUP_DELAY_S
         self._client = client
@@ -73,16 +99,29 @@
         self._members = members
         self._reader = reader
         self._log = log
+        self._time_of_day_s = time_of_day_s
 
     async def run(self, random: Random) -> None:
-        """Check at random times, until cancelled."""
+        """Check when it is this VM's turn, until cancelled."""
         await asyncio.sleep(_STARTUP_DELAY_S)
         while True:
-            jitter = random.uniform(1 - _JITTER, 1 + _JITTER)
-            await asyncio.sleep(self._interval_s() * jitter)
+            await self._wait_for_turn(random)
             if self._catalog.as_of:
                 await self._check()
 
+    async def _wait_for_turn(self, random: Random) -> None:
+        """Wait until the next check of this VM is due."""
+        wait_s = until_turn_s(
+            self._rank(), self._interval_s(), self._time_of_day_s()
+        )
+        while not self._members.is_reader(now_ms()):
+            await asyncio.sleep(min(wait_s, _ROLE_CHECK_INTERVAL_S))
+            wait_s -= _ROLE_CHECK_INTERVAL_S
+            if wait_s <= 0:
+                return
+        jitter = random.uniform(1 - _JITTER, 1 + _JITTER)
+        await asyncio.sleep(self.reader_interval_s * jitter)
+
     def _interval_s(self) -> float:
         is_reader = self._members.is_reader(now_ms())
         return check_interval_s(
@@ -90,6 +129,12 @@
             self.reader_interval_s if is_reader else None,
         )
 
+    def _rank(self) -> int:
+        """Return this VM's position in the order in which VMs check."""
+        own = self._members.own
+        vms = [own, *self._members.known()]
+        return rank_vms(_TURNS_KEY, vms).index(own)
+
     async def _check(self) -> None:
         try:
             await self._compare()
--- a/src/dandelionstage/spread/members.py
+++ b/src/dandelionstage/spread/members.py
@@ -57,6 +57,8 @@
     synchronized clocks or state that survives a restart.  The smallest age is
     the newest information, whichever VM it comes from.
 
+    :ivar own: address of this VM.
+    :ivar own: address of this VM.
     :ivar has_store: whether this VM can reach the store, as far as it knows.
     :ivar heard_elsewhere_ms: when any VM of another data centre was last
         heard from, ``-inf`` if none was.
@@ -65,7 +67,7 @@
     def __init__(self, own: Address, data_centre: str) -> None:
         """Create a table that contains no other VM."""
         self.has_store = True
-        self._own = own
+        self.own = own
         self._data_centre = data_centre
         self._members: dict[Address, MemberState] = {}
         self.heard_elsewhere_ms = float('-inf')
@@ -90,7 +92,7 @@
 
         A state older than the recorded one is ignored.
         """
-        if vm == self._own:
+        if vm == self.own:
             return False
         if data_centre != self._data_centre:
             self.heard_elsewhere_ms = max(self.heard_elsewhere_ms, heard_ms)
@@ -144,8 +146,8 @@
             if member.data_centre == data_centre
         ]
         if data_centre == self._data_centre:
-            vms.append(self._own)
-        return vms or [*self._members, self._own]
+            vms.append(self.own)
+        return vms or [*self._members, self.own]
 
     def elsewhere(self) -> list[Address]:
         """List the VMs of other data centres, the last heard from first."""
@@ -180,7 +182,7 @@
 
     def is_reader(self, now_ms: float) -> bool:
         """Whether this VM is one of the readers of the store."""
-        return self._own in self.readers(now_ms)
+        return self.own in self.readers(now_ms)
 
     def readers(self, now_ms: float) -> list[Address]:
         """List the readers of the store according to this VM's table.
@@ -201,9 +203,9 @@
         alive = self.alive(now_ms)
         with_store = [vm for vm in alive if self._members[vm].has_store]
         if self.has_store:
-            with_store.append(self._own)
+            with_store.append(self.own)
         # If no VM can reach the store, the first in the ranking keep trying.
-        candidates = with_store or [*alive, self._own]
+        candidates = with_store or [*alive, self.own]
         return [Address(vm) for vm in rank_vms(_READERS_KEY, candidates)]
 
     def _is_heard_since(self, vm: Address, since_ms: float) -> bool:
