An outage that any reader notices defers removals in all VMs

Cause: only the VM whose watch had failed deferred removals.

Ruled out: a deferral that is too short.

Change: failed checks count as failed watches do, and those of readers for all VMs. Hellos have the age of the last one (a trailing field, ignored by VMs of before). Known causes of endless news are avoided: a failure counts if it is 0.5 s later than the last one known, and for a stability window.

Tests: tests/test_lapsed_entries.py; all 6 kinds of outage failed before, in fleets of each size. News among 195 VMs is played on virtual time.

--- a/src/dandelionstage/cli/timeline.py
+++ b/src/dandelionstage/cli/timeline.py
@@ -21,6 +21,7 @@
         'catalog_pulled',
         'catalog_read',
         'entry_unreadable',
+        'outage_ended',
         'peer_found',
         'pull_failed',
         'readers_behind',
--- a/src/dandelionstage/platform/revision_check.py
+++ b/src/dandelionstage/platform/revision_check.py
@@ -136,13 +136,16 @@
         return rank_vms(_TURNS_KEY, vms).index(own)
 
     async def _check(self) -> None:
+        sent_ms = now_ms()
         try:
             await self._compare()
         except StoreUnavailable as fault:
+            self._reader.note_failed_call(sent_ms)
             self._log.event('audit_failed', fault=repr(fault))
 
     async def _compare(self) -> None:
         store_revision = await self._client.read_revision()
+        self._reader.note_answer()
         if self._members.is_reader(now_ms()):
             # A removal that is deferred has been read and is not applied yet.
             if store_revision > self._reader.position:
--- a/src/dandelionstage/platform/sources.py
+++ b/src/dandelionstage/platform/sources.py
@@ -59,9 +59,15 @@
             *host_and_port(settings.platform.address)
         )
         self._reader = StoreReader(
-            self._client, self.catalog, self.spread.members, log, random
+            self._client,
+            self.catalog,
+            self.spread.members,
+            log,
+            random,
+            self.spread.outages,
         )
         self._reader.on_change = self.spread.announce_changes
+        self._reader.on_outage = self.spread.announce_changes
         self._revision_check = RevisionCheck(
             self._check_client,
             self.catalog,
@@ -80,6 +86,8 @@
         self._revision_check.reader_interval_s = (
             settings.reader_check_interval_s
         )
+        # Its removals count as those of a stable store after this time.
+        self.spread.outages.recent_ms = settings.bounds.stability_window_ms
         self._older_entries.expiry_ms = settings.entry_expiry_ms
         self.spread.replace_seeds(
             _address(settings, host_and_port(seed)[0])
--- a/src/dandelionstage/platform/store_reader.py
+++ b/src/dandelionstage/platform/store_reader.py
@@ -10,6 +10,7 @@
 from ..catalog.catalog import Catalog, CatalogItem
 from ..catalog.deferred_removals import DeferredRemovals
 from ..catalog.positions import StoreRevision, log_fields, revision_of
+from ..catalog.store_outages import StoreOutages
 from ..gateway.clock import now_ms
 from ..operations.events import EventLog
 from ..spread.members import Members
@@ -77,25 +78,29 @@
     :ivar watch_ms: how long the store may wait for a change in a watch, in
         ms; a watch that gets no answer at all times out a little later.
     :ivar on_change: called after each change of the catalog.
+    :ivar on_outage: called when the store fails, which other VMs must know.
     """
 
-    def __init__(
+    def __init__(  # noqa: WPS211 -- one for each collaborator
         self,
         client: StoreClient,
         catalog: Catalog,
         members: Members,
         log: EventLog,
         random: Random,
+        outages: StoreOutages,
     ) -> None:
         """Store the arguments; :meth:`run` starts reading."""
         self.watch_ms = _INITIAL_WATCH_MS
         self._watch_succeeded = False
         self.on_change: Callable[[], None] = _ignore_change
+        self.on_outage: Callable[[], None] = _ignore_change
         self._client = client
         self._catalog = catalog
         self._members = members
         self._log = log
         self._random = random
+        self._outages = outages
         self._deferred_removals = DeferredRemovals()
         self._is_reading = False
         self._must_read_all = False
@@ -138,6 +143,22 @@
             _CHANGES_DUE_S, self._end_overdue, watch, as_of
         )
 
+    def note_failed_call(self, sent_ms: float) -> None:
+        """Note a call that the store did not answer.
+
+        :param sent_ms: when it was sent, or when its connection was lost.
+        """
+        is_reader = self._members.is_reader(now_ms())
+        if self._outages.note_own_failure(sent_ms, is_reader=is_reader):
+            self.on_outage()
+
+    def note_answer(self) -> None:
+        """Defer removals if the store answers again after an outage."""
+        at_ms = now_ms()
+        if self._outages.note_answer(at_ms):
+            self._log.event('outage_ended', **log_fields(self._catalog.as_of))
+            self._deferred_removals.start_deferring(at_ms)
+
     async def catch_up(self, client: StoreClient) -> None:
         """Read the changes although this VM is not a reader.
 
@@ -152,6 +173,7 @@
             self._log.event('store_history_gone', **log_fields(as_of))
             await self._read_all(client)
         else:
+            self.note_answer()
             self._apply(result.items, result.as_of)
 
     async def _initialize_catalog(self) -> None:
@@ -182,6 +204,7 @@
                 await self._back_off('history gone again')
             self._must_read_all = True
         except StoreUnavailable as fault:
+            self.note_failed_call(now_ms())
             await self._back_off(str(fault))
         except _WatchOverdue:
             # The answer was lost; a short watch shows whether the store is.
@@ -318,6 +341,7 @@
             self._members.has_store = True
 
     def _note_success(self) -> None:
+        self.note_answer()
         if self._failures:
             self._failures = 0
             self._members.has_store = True
--- a/src/dandelionstage/spread/gossip_node.py
+++ b/src/dandelionstage/spread/gossip_node.py
@@ -10,6 +10,7 @@
 
 from ..catalog.catalog import Catalog
 from ..catalog.servers import ServerId
+from ..catalog.store_outages import StoreOutages
 from ..gateway.clock import call_later, now_ms
 from ..lifecycle.resource_owner import ResourceOwner
 from ..model.ids import VmId
@@ -47,6 +48,8 @@
 #: silent, out of this many that were heard from last.
 _PROBE_FANOUT: Final = 3
 _PROBE_CHOICE: Final = 12
+#: A failed call to the store is news for this long, unless set otherwise.
+_RECENT_OUTAGE_MS: Final = 4000.0
 #: Duration and number of the rounds in which a starting VM asks for replies.
 _STARTUP_ROUND_S: Final = 0.1
 _STARTUP_ROUNDS: Final = 10
@@ -60,6 +63,7 @@
 
     :ivar members: table of the known VMs.
     :ivar is_leaving: whether this VM is stopping.
+    :ivar outages: when the store failed to answer.
     :ivar list_slow_servers: lists the servers that this VM recently found slow.
     :ivar apply_slow_reports: applies another VM's reports of slow servers.
     :ivar loans: retry budget lent and borrowed.
@@ -87,6 +91,7 @@
         """
         self.members = Members(own, data_centre)
         self.is_leaving = False
+        self.outages = StoreOutages(_RECENT_OUTAGE_MS)
         self._own = own
         self._data_centre = data_centre
         self._catalog = catalog
@@ -161,6 +166,7 @@
                 at_ms if self.loans.should_borrow(at_ms) else None,
                 loan,
                 self.limits.choose_reports(at_ms, self._random),
+                self.outages.age_ms(at_ms),
             )
         )
 
@@ -189,6 +195,7 @@
         if hello.wants_reply:
             # It may have just started, or was cut off.
             self._deadly_exchange.send_to(sender)
+        self._note_outage(hello)
         self._puller.pull_if_newer(sender, hello.as_of)
         self.apply_slow_reports(_slow_servers_of(hello))
         self.limits.apply_reports(hello.limits, now_ms())
@@ -212,6 +219,12 @@
                 'peer_found', peer=sender, members=len(self.members)
             )
 
+    def _note_outage(self, hello: Hello) -> None:
+        """Note a failure of the store; pass the news on before it returns."""
+        age_ms = hello.store_failed_age_ms
+        if age_ms is not None and self.outages.note_failure(now_ms() - age_ms):
+            self.announce_changes()
+
     def _grant_loan(self, sender: Address, hello: Hello) -> Loan | None:
         if hello.asked_ms is None or self.is_leaving:
             return None
--- a/src/dandelionstage/spread/messages.py
+++ b/src/dandelionstage/spread/messages.py
@@ -59,6 +59,8 @@
         budget, else ``None``.
     :ivar loan: loan granted to the receiver.
     :ivar limits: what the sender knows of limits that servers named.
+    :ivar store_failed_age_ms: time since the store last failed to answer a
+        reader, ``None`` if it did not recently.
     """
 
     protocol: int
@@ -73,6 +75,7 @@
     asked_ms: float | None
     loan: Loan | None
     limits: Sequence[LimitReport] = ()
+    store_failed_age_ms: int | None = None
 
 
 @final
@@ -134,8 +137,7 @@
             raise ValueError(
                 'invalid address of a VM: {0!a:.60}'.format(address)
             )
-    if any(known.age_ms < 0 for known in hello.known):
-        raise ValueError('a VM was heard from in the future')
+    _check_ages(hello)
     if hello.loan is not None and not 0 <= hello.loan.fraction <= LENT_FRACTION:
         raise ValueError('loan of {0} shares'.format(hello.loan.fraction))
     for report in hello.limits:
@@ -143,6 +145,17 @@
     return hello
 
 
+def _check_ages(hello: Hello) -> None:
+    """Check that nothing is known of the future.
+
+    :raises ValueError: if an age is negative.
+    """
+    if any(known.age_ms < 0 for known in hello.known):
+        raise ValueError('a VM was heard from in the future')
+    if hello.store_failed_age_ms is not None and hello.store_failed_age_ms < 0:
+        raise ValueError('the store failed in the future')
+
+
 _encoder = msgspec.msgpack.Encoder()
 encode = _encoder.encode
 _decode_hello: Final = msgspec.msgpack.Decoder(Hello).decode
--- /dev/null
+++ b/tests/test_lapsed_entries.py
@@ -0,0 +1,218 @@
+"""Entries of servers that lapse while the store is away."""
+
+import asyncio
+from functools import partial
+from random import Random
+
+import pytest
+
+from dandelionstage.catalog.catalog import Catalog
+from dandelionstage.catalog.store_outages import StoreOutages
+from dandelionstage.gateway.clock import now_ms
+from dandelionstage.model.ids import VmId
+from dandelionstage.operations.events import EventLog
+from dandelionstage.platform.entry_parser import EntryParser
+from dandelionstage.spread.gossip_node import GossipNode
+from dandelionstage.spread.members import Address
+from dandelionstage.spread.pulls import PullLimits
+from tools.standins.platform.store import StoreMode
+
+from .test_platform_nodes import running
+from .virtual_time import run_on_virtual_time
+
+OUTAGE_S = 2.5
+#: Servers write their entries again within about 2 s of the store's return.
+BACK_S = 1.8
+STEP_S = 0.05
+SERVER = 'i-1'
+FLEETS = (1, 2, 3, 12)
+#: VMs begin to compare revisions 2 s after their start.
+CHECKS_BEGIN_S = 3
+KEY = 'servers/i-1'
+#: ``stabilityWindowMs`` and ``drainMs`` in the settings.
+STABILITY_S = 4
+DRAIN_S = 3
+#: News that an announcement misses comes with the next rounds.
+NEWS_S = 1
+#: Fraction of the messages between VMs that are lost.
+LOST = 0.02
+
+
+def uses(node):
+    return node._replicas.replica(SERVER) is not None
+
+
+async def count_losses(nodes, length_s):
+    losses = 0
+    for _ in range(int(length_s / STEP_S)):
+        await asyncio.sleep(STEP_S)
+        losses += sum(not uses(node) for node in nodes)
+    return losses
+
+
+async def go_away(store, mode, *, loses_watches):
+    """Be away for a time; the entry of a server lapses."""
+    store.mode = mode
+    if loses_watches:
+        store.lose_answers()
+    if mode is StoreMode.RESET:
+        store.cut_all()
+    await asyncio.sleep(OUTAGE_S)
+    if loses_watches:
+        store.lose_answers()
+    store.mode = StoreMode.WELL
+    store.remove(KEY)
+
+
+async def count_losses_of(vms, seed, directory, away):
+    """Play an outage with a fleet; return how often a VM lacked the server."""
+    async with running(directory, seed, vms=vms) as (platform, nodes):
+        await asyncio.sleep(CHECKS_BEGIN_S)
+        entry = platform.servers[SERVER].entry('s1', 'a')
+        await away(platform.store)
+        losses = await count_losses(nodes, BACK_S)
+        platform.store.put(KEY, entry)
+        return losses + await count_losses(nodes, STEP_S)
+
+
+@pytest.mark.parametrize('loses_watches', [True, False])
+@pytest.mark.parametrize(
+    'mode', [StoreMode.SILENT, StoreMode.BUSY, StoreMode.RESET]
+)
+def test_server_whose_entry_lapsed_stays_in_use(tmp_path, mode, loses_watches):
+    """Regression: all VMs dropped all servers when the store returned.
+
+    The removals were applied at once by readers whose watch had lasted
+    through the outage, and by VMs that compare revisions.
+    """
+    away = partial(go_away, mode=mode, loses_watches=loses_watches)
+
+    async def scenario():
+        return await asyncio.gather(
+            *(count_losses_of(vms, 80 + vms, tmp_path, away) for vms in FLEETS)
+        )
+
+    assert not any(asyncio.run(scenario()))
+
+
+async def uses_after_leaving(vms, directory):
+    async with running(directory, 90 + vms, vms=vms) as (platform, nodes):
+        await asyncio.sleep(CHECKS_BEGIN_S)
+        store = platform.store
+        entry = platform.servers[SERVER].entry('s1', 'a')
+        await go_away(store, StoreMode.SILENT, loses_watches=True)
+        store.put(KEY, entry)
+        await asyncio.sleep(STABILITY_S)
+        store.remove(KEY)
+        await asyncio.sleep(DRAIN_S)
+        return any(map(uses, nodes))
+
+
+def test_server_that_leaves_after_an_outage_is_dropped_in_time(tmp_path):
+    """Guards the bound on draining, from the time it holds again."""
+
+    async def scenario():
+        return await asyncio.gather(
+            *(uses_after_leaving(vms, tmp_path) for vms in FLEETS)
+        )
+
+    assert not any(asyncio.run(scenario()))
+
+
+def address(number):
+    return Address(
+        VmId('10.0.{0}.{1}:7380'.format(number // 200, number % 200 + 1))
+    )
+
+
+class Fleet:
+    """VMs that gossip over a network with delays and losses."""
+
+    def __init__(self, vms, random):
+        self.random = random
+        self.sent = 0
+        log = EventLog(len, now_ms)
+        self.nodes = {}
+        for number in range(vms):
+            own = address(number)
+            self.nodes[own] = GossipNode(
+                own,
+                'a',
+                Catalog(EntryParser(log)),
+                log,
+                Random(number),
+                PullLimits.within(150),
+            )
+        for node in self.nodes.values():
+            for vm in self.nodes:
+                node.members.record(vm, 'a', 0, has_store=True)
+            node._send = self.send
+            node._transport = _Open()
+
+    def send(self, datagram, vm):
+        self.sent += 1
+        if self.random.random() >= LOST:
+            delay_s = self.random.uniform(0.001, 0.03)
+            loop = asyncio.get_running_loop()
+            loop.call_later(delay_s, self.nodes[vm].receive, datagram)
+
+    def count_knowing(self, now_s):
+        return sum(
+            node.outages.age_ms(now_s * 1000) is not None
+            for node in self.nodes.values()
+        )
+
+
+class _Open:
+    def is_closing(self):
+        return False
+
+
+@pytest.mark.parametrize('vms', [2, 3, 20, 195])
+def test_all_vms_learn_of_an_outage_and_forget_it(monkeypatch, vms):
+    """Guards against news that VMs tell each other for ever."""
+    fleet = Fleet(vms, Random(vms))
+
+    async def scenario(clock):
+        monkeypatch.setattr(
+            'dandelionstage.spread.gossip_node.now_ms', lambda: clock() * 1000
+        )
+        tasks = [
+            asyncio.create_task(node._run()) for node in fleet.nodes.values()
+        ]
+        await asyncio.sleep(3)
+        first = fleet.nodes[address(0)]
+        now = clock() * 1000
+        if first.outages.note_own_failure(now, is_reader=True):
+            first.announce_changes()
+        await asyncio.sleep(NEWS_S)
+        knew = fleet.count_knowing(clock())
+        await asyncio.sleep(2 * STABILITY_S)
+        still_knew = fleet.count_knowing(clock())
+        for task in tasks:
+            task.cancel()
+        return knew, still_knew
+
+    knew, still_knew = run_on_virtual_time(scenario)
+    assert knew == vms
+    assert still_knew == 0
+
+
+def test_failed_call_of_any_reader_counts_once():
+    outages = StoreOutages(4000)
+    assert not outages.note_answer(1000)
+    assert outages.note_failure(2000)
+    assert not outages.note_failure(2400)
+    assert outages.note_answer(3000)
+    assert not outages.note_answer(3100)
+    assert not outages.note_own_failure(3500, is_reader=False)
+    assert outages.age_ms(3500) == 1500
+    assert outages.note_answer(3600)
+
+
+def test_failed_call_of_long_ago_does_not_count():
+    outages = StoreOutages(4000)
+    outages.note_failure(1000)
+    assert not outages.note_answer(5000)
+    assert outages.age_ms(5000) is None
+    assert outages.note_own_failure(6000, is_reader=True)
--- a/tests/test_revision_checks.py
+++ b/tests/test_revision_checks.py
@@ -8,6 +8,7 @@
 
 from dandelionstage.catalog.catalog import Catalog
 from dandelionstage.catalog.positions import StoreRevision
+from dandelionstage.catalog.store_outages import StoreOutages
 from dandelionstage.gateway.clock import now_ms
 from dandelionstage.model.ids import VmId
 from dandelionstage.operations.events import EventLog
@@ -62,7 +63,8 @@
     members = Members(own, 'a')
     for vm in vms:
         members.record(vm, 'a', float('inf'), has_store=True)
-    reader = StoreReader(None, catalog, members, log, Random(1))
+    outages = StoreOutages(STABILITY_S * 1000)
+    reader = StoreReader(None, catalog, members, log, Random(1), outages)
     return RevisionCheck(store, catalog, members, reader, log, clock)
 
 
--- a/tests/test_store_reads.py
+++ b/tests/test_store_reads.py
@@ -8,6 +8,7 @@
 
 from dandelionstage.catalog.catalog import Catalog, CatalogItem
 from dandelionstage.catalog.positions import StoreRevision
+from dandelionstage.catalog.store_outages import StoreOutages
 from dandelionstage.gateway.clock import now_ms
 from dandelionstage.model.ids import VmId
 from dandelionstage.operations.events import EventLog
@@ -90,7 +91,10 @@
     log = EventLog(len, now_ms)
     catalog = Catalog(EntryParser(log))
     members = Members(OWN, 'a')
-    return catalog, StoreReader(store, catalog, members, log, Random(1))
+    outages = StoreOutages(4000)
+    return catalog, StoreReader(
+        store, catalog, members, log, Random(1), outages
+    )
 
 
 def read_until_caught_up(store):
