Pauses of VMs and of the soak are recorded

The finding of held requests (docs/incidents/soak-held-requests.md) could not be judged: neither the VMs nor the soak, which plays callers, servers and the store in one process, told when they did not run.

The check and its bound stay.

Test: test_pause_of_the_process_is_logged, failed before (no such line).

--- a/src/dandelionstage/cli/timeline.py
+++ b/src/dandelionstage/cli/timeline.py
@@ -23,6 +23,7 @@
         'entry_unreadable',
         'outage_ended',
         'peer_found',
+        'process_paused',
         'pull_failed',
         'readers_behind',
         'reads_store',
--- a/src/dandelionstage/gateway/caller_listener.py
+++ b/src/dandelionstage/gateway/caller_listener.py
@@ -36,6 +36,8 @@
     """Listens for callers and closes idle and slow connections.
 
     Connections that are still open when the listener is closed are aborted.
+
+    :ivar on_pause: called after a pause of the process, with its length in ms.
     """
 
     def __init__(  # noqa: WPS211 -- one for each collaborator
@@ -54,6 +56,7 @@
         :param must_close: whether to close connections after their next
             answer, so that callers connect to another VM.
         """
+        self.on_pause: Callable[[float], None] = _ignore_pause
         self._address = address
         self._pauses = PauseDetector(_PAUSE_THRESHOLD_MS)
         self._context = CallerConnectionContext(
@@ -133,6 +136,12 @@
         while True:
             await asyncio.sleep(_SWEEP_INTERVAL_S)
             at_ms = now_ms()
-            self._pauses.beat(at_ms)
+            pause_ms = self._pauses.beat(at_ms)
+            if pause_ms:
+                self.on_pause(pause_ms)
             for connection in tuple(self._connections):
                 connection.close_if_overdue(at_ms)
+
+
+def _ignore_pause(pause_ms: float) -> None:
+    """Do nothing after a pause."""
--- a/src/dandelionstage/platform/node.py
+++ b/src/dandelionstage/platform/node.py
@@ -129,6 +129,7 @@
             self._request_budget,
             self._sends_callers_elsewhere,
         )
+        self._callers.on_pause = self._log_pause
         grace_ms = settings.bounds.grace_s * _MS_PER_S
         self._shutdown = Shutdown(
             self._callers, ShutdownLimits.within(grace_ms), log
@@ -155,6 +156,9 @@
         """Read the settings file again."""
         self._settings_file.reload(self._log, self._apply_settings)
 
+    def _log_pause(self, pause_ms: float) -> None:
+        self._log.event('process_paused', pause_ms=pause_ms)
+
     def _late_left_ms(self) -> float:
         return self._shutdown.late_left_ms
 
--- a/tests/test_platform_nodes.py
+++ b/tests/test_platform_nodes.py
@@ -5,6 +5,7 @@
 
 import asyncio
 import itertools
+import time
 from contextlib import asynccontextmanager
 from types import MappingProxyType
 
@@ -372,6 +373,25 @@
     asyncio.run(scenario())
 
 
+def test_pause_of_the_process_is_logged(tmp_path):
+    """The log tells requests that a paused VM held from those it lost."""
+
+    async def scenario():
+        async with running(tmp_path, 28) as (platform, _nodes):
+            await asyncio.sleep(0.3)
+            time.sleep(1)  # noqa: ASYNC251 -- stalls the process
+            lines = platform.lines['front-a-0']
+            await platform.until(lambda: any(map(is_pause, lines)))
+            paused = next(filter(is_pause, lines))
+            assert paused['pause_ms'] >= 1000
+
+    asyncio.run(scenario())
+
+
+def is_pause(line):
+    return line['event'] == 'process_paused'
+
+
 def test_invalid_entries_do_not_affect_valid_ones(tmp_path):
     async def scenario():
         async with running(tmp_path, 14) as (platform, (node,)):
--- a/tools/soak/place.py
+++ b/tools/soak/place.py
@@ -1,5 +1,6 @@
 """What a soak runs on: the stand-in platform, VMs and the proxies between."""
 
+import asyncio
 from collections.abc import AsyncIterator
 from contextlib import AsyncExitStack, asynccontextmanager
 from pathlib import Path
@@ -12,6 +13,7 @@
 from tools.standins.platform.server import PlatformServer
 
 from .proxy import Proxy
+from .stalls import Stalls
 from .vms import Vm
 
 __all__ = ('LEAST_COVERAGE', 'ORDERS', 'Place')
@@ -50,6 +52,7 @@
     :ivar sets: the shards of each version.
     :ivar drained_ms: when a server was said to be leaving.
     :ivar store_spells: spells in which the store was disturbed.
+    :ivar stalls: when the soak itself stood still.
     """
 
     def __init__(self, seed: int, folder: Path, vm_count: int) -> None:
@@ -70,6 +73,7 @@
         self.sets: list[tuple[str, ...]] = []
         self.drained_ms: dict[str, float] = {}
         self.store_spells: list[tuple[float, float]] = []
+        self.stalls = Stalls()
         self._vm_count = vm_count
         self._stack = AsyncExitStack()
 
@@ -116,6 +120,8 @@
         return self.service_of[server]
 
     async def _open(self, stack: AsyncExitStack) -> None:
+        watch = asyncio.get_running_loop().create_task(self.stalls.run())
+        stack.callback(watch.cancel)
         await stack.enter_async_context(self.platform)
         await stack.enter_async_context(self._stack)
         for service in (*self._shards, ORDERS):
--- a/tools/soak/promises.py
+++ b/tools/soak/promises.py
@@ -131,8 +131,10 @@
     if life.ending in {Ending.KILLED, Ending.UNASKED} or not life.is_calm:
         return
     if asked.ended_ms - asked.sent_ms > _HELD_MS:
-        yield '{0}: held {1:.0f} ms'.format(
-            asked.request, asked.ended_ms - asked.sent_ms
+        yield '{0}: held {1:.0f} ms; the soak stalled for {2:.0f} ms'.format(
+            asked.request,
+            asked.ended_ms - asked.sent_ms,
+            place.stalls.within_ms(asked.sent_ms, asked.ended_ms),
         )
     elif asked.status is None and _was_passed_on(asked, place):
         yield '{0}: passed on and cut'.format(asked.request)
--- a/tools/soak/run.py
+++ b/tools/soak/run.py
@@ -39,21 +39,27 @@
     """What came of it.
 
     :ivar faults: how many of each were played.
+    :ivar stalled_ms: longest time that the soak itself stood still.
     """
 
     seed: int
     statuses: Counter[int | None]
     faults: Counter[str]
     broken: tuple[str, ...]
+    stalled_ms: float
 
     def __str__(self) -> str:
         """Write one line, and one for each broken promise."""
-        head = 'seed {0}: {1} requests, {2} faults, {3} broken; {4}'.format(
+        head = (
+            'seed {0}: {1} requests, {2} faults, {3} broken; {4}; '
+            'stood still for up to {5:.0f} ms'
+        ).format(
             self.seed,
             self.statuses.total(),
             self.faults.total(),
             len(self.broken),
             dict(self.statuses.most_common()),
+            self.stalled_ms,
         )
         return '\n  '.join((head, *self.broken))
 
@@ -70,6 +76,7 @@
         Counter(each.status for each in asked),
         played,
         tuple(broken_promises(place, asked)),
+        place.stalls.longest_ms,
     )
 
 
