--- a/src/dandelionstage/platform/entry_parser.py
+++ b/src/dandelionstage/platform/entry_parser.py
@@ -20,13 +20,12 @@
 from ..catalog.servers import ServerId, ServerRecord, ServerState
 from ..operations.events import EventLog
 from .config_bodies import ConfigBody, RouteBody, ServerBody
-from .server_address import check_server_id, parse_address
+from .server_address import check_server_id, parse_address, server_of
 
 __all__ = ('EntryParser',)
 
 _MAX_FAULT_CHARS: Final = 200
 _ROUTES_KEY: Final = 'op/config'
-_SERVERS_PREFIX: Final = 'servers/'
 _SERVER_STATES: Final = MappingProxyType(
     {'ready': ServerState.LIVE, 'draining': ServerState.DRAINING},
 )
@@ -42,9 +41,10 @@
     An entry is an item of the store: a key, its revision, and its value
     unless the key was removed.
 
-    An invalid entry is ignored; the last valid value of its key stays in
-    force until a valid entry arrives or the key is removed.  Whatever an
-    entry holds, those behind it are read.
+    An invalid entry names no server, whatever it named before, so that all
+    VMs agree, however long they run.  Invalid routes are ignored; the last
+    valid ones stay in force.  Whatever an entry holds, those behind it are
+    read.
     """
 
     def __init__(self, log: EventLog) -> None:
@@ -52,7 +52,7 @@
         self._log = log
 
     def __call__(self, entry: CatalogItem) -> Change:
-        """Return the change an entry makes; empty if invalid or not used."""
+        """Return the change that an entry makes."""
         try:
             return _parse_entry(entry)
         except Exception as fault:
@@ -63,12 +63,12 @@
                 revision=entry.revision,
                 fault=str(fault)[:_MAX_FAULT_CHARS],
             )
-            return Change()
+            return Change(removed_server=server_of(entry.key))
 
 
 def _parse_entry(entry: CatalogItem) -> Change:
-    if entry.key.startswith(_SERVERS_PREFIX):
-        server = ServerId(entry.key.removeprefix(_SERVERS_PREFIX))
+    server = server_of(entry.key)
+    if server is not None:
         if entry.raw is None:
             return Change(removed_server=server)
         return Change(server=_parse_server(server, entry.raw))
--- a/src/dandelionstage/platform/server_address.py
+++ b/src/dandelionstage/platform/server_address.py
@@ -1,17 +1,30 @@
-"""Checks what an entry says of the address and the id of a server."""
+"""The id and the address of a server as an entry of the store states them."""
 
 import re
 import socket
 from typing import Final
 
-__all__ = ('check_server_id', 'parse_address')
+from ..catalog.servers import ServerId
 
+__all__ = ('check_server_id', 'parse_address', 'server_of')
+
+_SERVERS_PREFIX: Final = 'servers/'
 #: Visible characters of ASCII, as the id is sent in a header.
 _SERVER_ID: Final = re.compile('[!-~]+')
 _PORT: Final = re.compile('[0-9]{1,5}')
 _MAX_PORT: Final = 65_535
 
 
+def server_of(key: str) -> ServerId | None:
+    """Return the server that an entry is about, ``None`` if about none.
+
+    :param key: key of the entry.
+    """
+    if not key.startswith(_SERVERS_PREFIX):
+        return None
+    return ServerId(key.removeprefix(_SERVERS_PREFIX))
+
+
 def check_server_id(server: str) -> None:
     """Check that a header can hold the id of a server.
 
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -8,7 +8,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from dandelionstage.catalog.catalog import CatalogItem, Change
+from dandelionstage.catalog.catalog import Catalog, CatalogItem, Change
 from dandelionstage.catalog.positions import StoreRevision
 from dandelionstage.gateway.clock import now_ms
 from dandelionstage.operations.events import EventLog
@@ -113,7 +113,7 @@
     After a restart of all VMs, none read the entries behind it.
     """
     change, logged = parse('servers/i-1', raw)
-    assert change == Change()
+    assert change == Change(removed_server='i-1')
     assert b'entry_unreadable' in logged
     assert len(logged) < LONGEST_LINE
 
@@ -122,6 +122,42 @@
 def test_id_that_no_header_can_hold_names_no_server(server):
     raw = json.dumps({**ENTRY}).encode()
     change, logged = parse('servers/{0}'.format(server), raw)
+    assert change == Change(removed_server=server)
+    assert b'entry_unreadable' in logged
+
+
+@pytest.mark.parametrize('raw', [b'{}', with_raw('state', '"odd"')])
+def test_vms_agree_on_a_server_whose_entry_became_unreadable(raw):
+    """Regression: VMs went on with the last entry that they had read.
+
+    One that started later did not know it.
+    """
+    log = EventLog(len, now_ms)
+    readable = json.dumps({**ENTRY}).encode()
+    items = [
+        CatalogItem('servers/i-1', StoreRevision(1), readable),
+        CatalogItem('servers/i-1', StoreRevision(2), raw),
+        CatalogItem('servers/i-2', StoreRevision(3), readable),
+    ]
+    running_since, started_later = (Catalog(EntryParser(log)) for _ in '12')
+    for item in items:
+        running_since.apply([item], item.revision)
+    started_later.apply(items[1:], items[-1].revision)
+    assert set(started_later.servers) == {'i-2'}
+    assert set(running_since.servers) == {'i-2'}
+
+
+def test_server_is_used_again_with_its_next_readable_entry():
+    catalog = Catalog(EntryParser(EventLog(len, now_ms)))
+    readable = json.dumps({**ENTRY}).encode()
+    for number, raw in enumerate((readable, b'{}', readable), 1):
+        item = CatalogItem('servers/i-1', StoreRevision(number), raw)
+        catalog.apply([item], item.revision)
+    assert set(catalog.servers) == {'i-1'}
+
+
+def test_routes_stay_in_force_when_their_entry_becomes_unreadable():
+    change, logged = parse('op/config', b'{}')
     assert change == Change()
     assert b'entry_unreadable' in logged
 
