A store that answers other VMs is not away (DRAIN)

Cause, of: a failed call of a reader alone counted as an outage. The store was silent to the readers and served the others; these found a removal after 0.3 s and deferred it. Older: a VM that is no reader never applied what it had deferred.

Change: hellos also have the time of the last answer to any VM. The store was away only if nobody got an answer for 2 s and a call failed meanwhile; the end of an outage counts for all VMs. Removals that are due are applied by every VM.

Tests of note_answer and age_ms are replaced by tests of the new interface with the same cases and more.

--- a/src/dandelionstage/platform/sources.py
+++ b/src/dandelionstage/platform/sources.py
@@ -67,7 +67,6 @@
             self.spread.outages,
         )
         self._reader.on_change = self.spread.announce_changes
-        self._reader.on_outage = self.spread.announce_changes
         self._revision_check = RevisionCheck(
             self._check_client,
             self.catalog,
--- a/src/dandelionstage/platform/store_reader.py
+++ b/src/dandelionstage/platform/store_reader.py
@@ -78,7 +78,6 @@
     :ivar watch_ms: how long the store may wait for a change in a watch, in
         ms; a watch that gets no answer at all times out a little later.
     :ivar on_change: called after each change of the catalog.
-    :ivar on_outage: called when the store fails, which other VMs must know.
     """
 
     def __init__(  # noqa: WPS211 -- one for each collaborator
@@ -94,13 +93,13 @@
         self.watch_ms = _INITIAL_WATCH_MS
         self._watch_succeeded = False
         self.on_change: Callable[[], None] = _ignore_change
-        self.on_outage: Callable[[], None] = _ignore_change
         self._client = client
         self._catalog = catalog
         self._members = members
         self._log = log
         self._random = random
         self._outages = outages
+        outages.on_ended = self._note_outage_ended
         self._deferred_removals = DeferredRemovals()
         self._is_reading = False
         self._must_read_all = False
@@ -123,6 +122,7 @@
             else:
                 self._set_role(is_reading=False)
                 self._restore_eligibility()
+                self._apply_due()
                 await asyncio.sleep(_ROLE_CHECK_INTERVAL_S)
 
     @property
@@ -148,16 +148,13 @@
 
         :param sent_ms: when it was sent, or when its connection was lost.
         """
-        is_reader = self._members.is_reader(now_ms())
-        if self._outages.note_own_failure(sent_ms, is_reader=is_reader):
-            self.on_outage()
+        self._outages.note_own_failure(
+            sent_ms, is_reader=self._members.is_reader(now_ms())
+        )
 
     def note_answer(self) -> None:
-        """Defer removals if the store answers again after an outage."""
-        at_ms = now_ms()
-        if self._outages.note_answer(at_ms):
-            self._log.event('outage_ended', **log_fields(self._catalog.as_of))
-            self._deferred_removals.start_deferring(at_ms)
+        """Note that the store answers this VM."""
+        self._outages.note_own_answer(now_ms())
 
     async def catch_up(self, client: StoreClient) -> None:
         """Read the changes although this VM is not a reader.
@@ -298,6 +295,20 @@
         confirmed = self._deferred_removals.filter_items(items, at_ms)
         return confirmed + self._deferred_removals.pop_due(at_ms)
 
+    def _note_outage_ended(self, at_ms: float) -> None:
+        """Defer removals, as servers write lapsed entries again.
+
+        :param at_ms: when the store answered a VM again.
+        """
+        self._log.event('outage_ended', **log_fields(self._catalog.as_of))
+        self._deferred_removals.start_deferring(at_ms)
+
+    def _apply_due(self) -> None:
+        """Apply removals that were read while this VM was no reader."""
+        due_ms = self._deferred_removals.next_due_ms()
+        if due_ms is not None and due_ms <= now_ms():
+            self._apply([], self._last_read_revision)
+
     def _note_restored(self, as_of: StoreRevision) -> None:
         """Defer removals, as what was written since the copy is written again.
 
--- a/src/dandelionstage/spread/gossip_node.py
+++ b/src/dandelionstage/spread/gossip_node.py
@@ -63,7 +63,7 @@
 
     :ivar members: table of the known VMs.
     :ivar is_leaving: whether this VM is stopping.
-    :ivar outages: when the store failed to answer.
+    :ivar outages: when the store answered, and failed to.
     :ivar list_slow_servers: lists the servers that this VM recently found slow.
     :ivar apply_slow_reports: applies another VM's reports of slow servers.
     :ivar loans: retry budget lent and borrowed.
@@ -92,6 +92,7 @@
         self.members = Members(own, data_centre)
         self.is_leaving = False
         self.outages = StoreOutages(_RECENT_OUTAGE_MS)
+        self.outages.on_news = self.announce_changes
         self._own = own
         self._data_centre = data_centre
         self._catalog = catalog
@@ -166,7 +167,8 @@
                 at_ms if self.loans.should_borrow(at_ms) else None,
                 loan,
                 self.limits.choose_reports(at_ms, self._random),
-                self.outages.age_ms(at_ms),
+                self.outages.failed_age_ms(at_ms),
+                self.outages.answered_age_ms(at_ms),
             )
         )
 
@@ -195,7 +197,12 @@
         if hello.wants_reply:
             # It may have just started, or was cut off.
             self._deadly_exchange.send_to(sender)
-        self._note_outage(hello)
+        self.outages.note_news(
+            *map(
+                _time_of,
+                (hello.store_failed_age_ms, hello.store_answered_age_ms),
+            )
+        )
         self._puller.pull_if_newer(sender, hello.as_of)
         self.apply_slow_reports(_slow_servers_of(hello))
         self.limits.apply_reports(hello.limits, now_ms())
@@ -219,12 +226,6 @@
                 'peer_found', peer=sender, members=len(self.members)
             )
 
-    def _note_outage(self, hello: Hello) -> None:
-        """Note a failure of the store; pass the news on before it returns."""
-        age_ms = hello.store_failed_age_ms
-        if age_ms is not None and self.outages.note_failure(now_ms() - age_ms):
-            self.announce_changes()
-
     def _grant_loan(self, sender: Address, hello: Hello) -> Loan | None:
         if hello.asked_ms is None or self.is_leaving:
             return None
@@ -299,6 +300,10 @@
     return [(ServerId(name), ratio) for name, ratio in hello.slow]
 
 
+def _time_of(age_ms: int | None) -> float | None:
+    return None if age_ms is None else now_ms() - age_ms
+
+
 def _refuse_loan(borrower: VmId, asked_ms: float) -> None:
     """Refuse a loan; used until :attr:`GossipNode.lend` is set."""
 
--- a/src/dandelionstage/spread/messages.py
+++ b/src/dandelionstage/spread/messages.py
@@ -61,6 +61,7 @@
     :ivar limits: what the sender knows of limits that servers named.
     :ivar store_failed_age_ms: time since the store last failed to answer a
         reader, ``None`` if it did not recently.
+    :ivar store_answered_age_ms: time since it last answered any VM.
     """
 
     protocol: int
@@ -76,6 +77,7 @@
     loan: Loan | None
     limits: Sequence[LimitReport] = ()
     store_failed_age_ms: int | None = None
+    store_answered_age_ms: int | None = None
 
 
 @final
@@ -152,8 +154,9 @@
     """
     if any(known.age_ms < 0 for known in hello.known):
         raise ValueError('a VM was heard from in the future')
-    if hello.store_failed_age_ms is not None and hello.store_failed_age_ms < 0:
-        raise ValueError('the store failed in the future')
+    ages_ms = (hello.store_failed_age_ms, hello.store_answered_age_ms)
+    if any(age_ms is not None and age_ms < 0 for age_ms in ages_ms):
+        raise ValueError('a call to the store in the future')
 
 
 _encoder = msgspec.msgpack.Encoder()
--- a/tests/test_lapsed_entries.py
+++ b/tests/test_lapsed_entries.py
@@ -12,12 +12,13 @@
 from dandelionstage.model.ids import VmId
 from dandelionstage.operations.events import EventLog
 from dandelionstage.platform.entry_parser import EntryParser
+from dandelionstage.platform.store_client import StoreUnavailable
 from dandelionstage.spread.gossip_node import GossipNode
 from dandelionstage.spread.members import Address
 from dandelionstage.spread.pulls import PullLimits
 from tools.standins.platform.store import StoreMode
 
-from .test_platform_nodes import running
+from .test_platform_nodes import QUERY, list_readers, running
 from .virtual_time import run_on_virtual_time
 
 OUTAGE_S = 2.5
@@ -32,6 +33,8 @@
 #: ``stabilityWindowMs`` and ``drainMs`` in the settings.
 STABILITY_S = 4
 DRAIN_S = 3
+#: A check that gets no answer ends after this time.
+CHECK_TIMEOUT_S = 0.5
 #: News that an announcement misses comes with the next rounds.
 NEWS_S = 1
 #: Fraction of the messages between VMs that are lost.
@@ -119,6 +122,45 @@
     assert not any(asyncio.run(scenario()))
 
 
+async def wait_forever(*_):
+    await asyncio.Event().wait()
+
+
+async def time_out():
+    await asyncio.sleep(CHECK_TIMEOUT_S)
+    raise StoreUnavailable('no answer')
+
+
+async def uses_after_leaving_unread(vms, directory):
+    async with running(directory, 100 + vms, vms=vms) as (platform, nodes):
+        await asyncio.sleep(CHECKS_BEGIN_S)
+        await platform.until(lambda: len(list_readers(nodes)) == 2)
+        for sources in list_readers(nodes):
+            sources._client.watch = wait_forever
+            sources._check_client.read_revision = time_out
+        # Watches in progress still return once; later ones never do.
+        platform.publish(8, [QUERY])
+        await asyncio.sleep(STABILITY_S)
+        platform.store.remove(KEY)
+        await asyncio.sleep(DRAIN_S)
+        return any(map(uses, nodes))
+
+
+def test_server_that_leaves_unread_by_readers_is_dropped_in_time(tmp_path):
+    """Guards against an outage that is one of the readers only.
+
+    First seen as a DRAIN violation in a trial: brra-search with
+    deploy/days/readers.toml, seed 190562353534.
+    """
+
+    async def scenario():
+        return await asyncio.gather(
+            *(uses_after_leaving_unread(vms, tmp_path) for vms in (3, 6, 12))
+        )
+
+    assert not any(asyncio.run(scenario()))
+
+
 def address(number):
     return Address(
         VmId('10.0.{0}.{1}:7380'.format(number // 200, number % 200 + 1))
@@ -158,7 +200,7 @@
 
     def count_knowing(self, now_s):
         return sum(
-            node.outages.age_ms(now_s * 1000) is not None
+            node.outages.failed_age_ms(now_s * 1000) is not None
             for node in self.nodes.values()
         )
 
@@ -182,9 +224,7 @@
         ]
         await asyncio.sleep(3)
         first = fleet.nodes[address(0)]
-        now = clock() * 1000
-        if first.outages.note_own_failure(now, is_reader=True):
-            first.announce_changes()
+        first.outages.note_own_failure(clock() * 1000, is_reader=True)
         await asyncio.sleep(NEWS_S)
         knew = fleet.count_knowing(clock())
         await asyncio.sleep(2 * STABILITY_S)
@@ -198,21 +238,75 @@
     assert still_knew == 0
 
 
-def test_failed_call_of_any_reader_counts_once():
-    outages = StoreOutages(4000)
-    assert not outages.note_answer(1000)
-    assert outages.note_failure(2000)
-    assert not outages.note_failure(2400)
-    assert outages.note_answer(3000)
-    assert not outages.note_answer(3100)
-    assert not outages.note_own_failure(3500, is_reader=False)
-    assert outages.age_ms(3500) == 1500
-    assert outages.note_answer(3600)
+class Outages:
+    """The outages that a VM knows of."""
+
+    def __init__(self):
+        self.known = StoreOutages(STABILITY_S * 1000)
+        self.known.on_ended = self._note_ended
+        self.ended_ms = []
+        self.news = 0
+        self.known.on_news = self._note_news
+
+    def _note_ended(self, at_ms):
+        self.ended_ms.append(at_ms)
+
+    def _note_news(self):
+        self.news += 1
+
+
+def test_answer_after_a_failed_call_of_any_reader_ends_an_outage():
+    outages = Outages()
+    outages.known.note_news(None, 1000)
+    outages.known.note_news(2000, None)
+    assert outages.news == 1
+    outages.known.note_own_answer(4000)
+    assert outages.ended_ms == [4000]
+    outages.known.note_own_answer(4100)
+    outages.known.note_own_answer(7000)
+    assert outages.ended_ms == [4000]
+    assert outages.known.answered_age_ms(7500) == 500
+
+
+def test_outage_ends_for_a_vm_with_the_answer_to_another_one():
+    outages = Outages()
+    outages.known.note_own_answer(1000)
+    outages.known.note_own_failure(2000, is_reader=False)
+    outages.known.note_news(2500, 3500)
+    assert outages.ended_ms == [3500]
+    outages.known.note_own_answer(3600)
+    assert outages.ended_ms == [3500]
+    assert outages.known.failed_age_ms(3600) == 1100
+
+
+def test_store_that_answers_some_vms_is_not_away():
+    outages = Outages()
+    outages.known.note_own_answer(500)
+    for at_ms in range(1000, 20_000, 900):
+        outages.known.note_own_failure(at_ms, is_reader=True)
+        outages.known.note_news(None, at_ms + 500)
+    assert not outages.ended_ms
+
+
+def test_silence_without_a_failed_call_is_no_outage():
+    outages = Outages()
+    outages.known.note_own_answer(1000)
+    outages.known.note_own_answer(60_000)
+    assert not outages.ended_ms
 
 
 def test_failed_call_of_long_ago_does_not_count():
-    outages = StoreOutages(4000)
-    outages.note_failure(1000)
-    assert not outages.note_answer(5000)
-    assert outages.age_ms(5000) is None
-    assert outages.note_own_failure(6000, is_reader=True)
+    outages = Outages()
+    outages.known.note_own_answer(500)
+    outages.known.note_news(1000, None)
+    outages.known.note_own_answer(5000)
+    assert not outages.ended_ms
+    assert outages.known.failed_age_ms(5000) is None
+
+
+def test_same_news_on_its_way_back_is_no_news():
+    outages = Outages()
+    outages.known.note_news(1000, 1500)
+    outages.known.note_news(1300, 1800)
+    assert outages.known.failed_age_ms(2000) == 1000
+    assert outages.known.answered_age_ms(2000) == 500
--- a/tests/test_unexpected_errors.py
+++ b/tests/test_unexpected_errors.py
@@ -74,6 +74,7 @@
         {'loan': Loan(float('nan'), 1000)},
         {'loan': Loan(-1, 1000)},
         {'store_failed_age_ms': -1},
+        {'store_answered_age_ms': -1},
     ],
 )
 def test_hello_that_cannot_be_true_is_refused(changes):
