A line said twice, and two steps said plainly

Read as a newcomer would: a doubled field in a docstring, a mapping of two arguments spelled out, and why a VM that waits for its turn looks at its role. Nothing is decided differently.

--- a/src/dandelionstage/platform/revision_check.py
+++ b/src/dandelionstage/platform/revision_check.py
@@ -110,7 +110,10 @@
                 await self._check()
 
     async def _wait_for_turn(self, random: Random) -> None:
-        """Wait until the next check of this VM is due."""
+        """Wait until the next check of this VM is due.
+
+        It may become a reader meanwhile, whose checks are due sooner.
+        """
         wait_s = until_turn_s(
             self._rank(), self._interval_s(), self._time_of_day_s()
         )
--- a/src/dandelionstage/spread/gossip_node.py
+++ b/src/dandelionstage/spread/gossip_node.py
@@ -198,10 +198,8 @@
             # It may have just started, or was cut off.
             self._deadly_exchange.send_to(sender)
         self.outages.note_news(
-            *map(
-                _time_of,
-                (hello.store_failed_age_ms, hello.store_answered_age_ms),
-            )
+            _time_before_now(hello.store_failed_age_ms),
+            _time_before_now(hello.store_answered_age_ms),
         )
         self._puller.pull_if_newer(sender, hello.as_of)
         self.apply_slow_reports(_slow_servers_of(hello))
@@ -300,7 +298,7 @@
     return [(ServerId(name), ratio) for name, ratio in hello.slow]
 
 
-def _time_of(age_ms: int | None) -> float | None:
+def _time_before_now(age_ms: int | None) -> float | None:
     return None if age_ms is None else now_ms() - age_ms
 
 
--- a/src/dandelionstage/spread/members.py
+++ b/src/dandelionstage/spread/members.py
@@ -57,7 +57,6 @@
     synchronized clocks or state that survives a restart.  The smallest age is
     the newest information, whichever VM it comes from.
 
-    :ivar own: address of this VM.
     :ivar own: address of this VM.
     :ivar has_store: whether this VM can reach the store, as far as it knows.
     :ivar heard_elsewhere_ms: when any VM of another data centre was last
