Stand-in fleets in one folder do not share settings files

Seen: a new test that plays four fleets at once in one folder failed in some runs, always in all fleets together. Its log: a VM of one fleet finds peers of the other three ("peer_found" of 127.124.214.2, 18 members instead of 12), its store is lost, and the fleets pass on each other's catalogs.

Cause: the stand-in named the settings file of a VM by its number. VMs look at their file now and then, and read that of the fleet that was started last. They do so only if the time of the file differs, which depends on the moment.

Change: the file is named by the address of the VM. The new test failed before.

--- a/tests/test_platform_nodes.py
+++ b/tests/test_platform_nodes.py
@@ -470,6 +470,15 @@
     asyncio.run(scenario())
 
 
+def test_fleets_in_one_folder_have_their_own_settings(tmp_path):
+    """Regression: VMs of a test joined another fleet of the same test."""
+    fleets = [Platform(seed, tmp_path) for seed in (1, 2)]
+    for fleet in fleets:
+        fleet.plan_hosts(2)
+    paths = {fleet.write_settings(vm) for fleet in fleets for vm in (0, 1)}
+    assert len(paths) == 4
+
+
 def test_changed_settings_are_applied_and_invalid_ones_refused(tmp_path):
     async def scenario():
         async with running(tmp_path, 17) as (platform, (node,)):
--- a/tools/standins/platform/place.py
+++ b/tools/standins/platform/place.py
@@ -148,7 +148,9 @@
 
         :param store: where it reaches the store, if not directly.
         """
-        path = self._folder / 'boot-{0}.json'.format(number)
+        # Named by the address: several platforms may share a folder, and a VM
+        # that read the settings of another one would join its fleet.
+        path = self._folder / 'boot-{0}.json'.format(self._hosts[number])
         settings = boot_settings(
             number, self._hosts, zone, store or self.store_address
         )
