Deferred removals wait for the end of a second outage

Callers would see: the store is away, answers for about a second and is away again. Servers that are alive had no time to write their entries, and all VMs drop all of them: during the second outage or at its end.

Cause: each deferred removal kept the time at which it was due. In the second outage that time passed. VMs that are no readers applied it by their timer, without an answer of the store, and passed it on; readers applied it with the first answer after the outage, although that starts another deferral.

Ruled out: the deferral of the first outage does not begin; the logs show outage_ended at both returns.

Change: all removals are due when the last deferral ends, and a VM that is not a reader reads the store once before it applies them. If it gets no answer it waits again, and logs removals_unconfirmed.

Why it keeps the bound on draining: a deferral begins at the latest one stability window after a call that failed, and the bound holds for removals accepted by a store that was undisturbed for that window before.

--- a/src/dandelionstage/catalog/deferred_removals.py
+++ b/src/dandelionstage/catalog/deferred_removals.py
@@ -19,12 +19,13 @@
     """Delays removals that arrive shortly after an outage of the store.
 
     A server cannot renew its entry during an outage, so the entry may expire
-    although the server works.
+    although the server works.  If the store fails again before the server has
+    written its entry, all removals wait for the end of that outage too.
     """
 
     def __init__(self) -> None:
         """Create an instance that defers nothing."""
-        self._deferred: dict[str, tuple[CatalogItem, float]] = {}
+        self._deferred: dict[str, CatalogItem] = {}
         self._defer_until_ms = float('-inf')
 
     def __len__(self) -> int:
@@ -33,7 +34,8 @@
 
     def start_deferring(self, now_ms: float) -> None:
         """Start the period of deferral, as an outage of the store has ended."""
-        self._defer_until_ms = now_ms + _DEFERRAL_MS
+        until_ms = now_ms + _DEFERRAL_MS
+        self._defer_until_ms = max(self._defer_until_ms, until_ms)
 
     def filter_items(
         self, items: Iterable[CatalogItem], now_ms: float
@@ -46,9 +48,7 @@
         for item in items:
             is_removal = item.raw is None
             if is_removal and now_ms < self._defer_until_ms:
-                self._deferred.setdefault(
-                    item.key, (item, self._defer_until_ms)
-                )
+                self._deferred.setdefault(item.key, item)
                 continue
             if not is_removal:
                 self._deferred.pop(item.key, None)
@@ -56,12 +56,14 @@
         return to_apply
 
     def pop_due(self, now_ms: float) -> list[CatalogItem]:
-        """Return the deferred removals that are due and stop tracking them."""
-        due = [
-            item for item, due_ms in self._deferred.values() if now_ms >= due_ms
-        ]
-        for item in due:
-            self._deferred.pop(item.key)
+        """Return the deferred removals if due and stop tracking them.
+
+        :param now_ms: when the store has answered this VM.
+        """
+        if now_ms < self._defer_until_ms:
+            return []
+        due = list(self._deferred.values())
+        self._deferred.clear()
         return due
 
     def revision_before_deferred(
@@ -76,13 +78,11 @@
             deferred.
         """
         first = min(
-            (item.revision for item, _ in self._deferred.values()),
+            (item.revision for item in self._deferred.values()),
             default=position + 1,
         )
         return StoreRevision(min(position, first - 1))
 
     def next_due_ms(self) -> float | None:
-        """Return when the next deferred removal is due, ``None`` if none."""
-        return min(
-            (due_ms for _, due_ms in self._deferred.values()), default=None
-        )
+        """Return when the deferred removals are due, ``None`` if none."""
+        return self._defer_until_ms if self._deferred else None
--- a/src/dandelionstage/platform/store_reader.py
+++ b/src/dandelionstage/platform/store_reader.py
@@ -122,7 +122,7 @@
             else:
                 self._set_role(is_reading=False)
                 self._restore_eligibility()
-                self._apply_due()
+                await self._apply_due()
                 await asyncio.sleep(_ROLE_CHECK_INTERVAL_S)
 
     @property
@@ -303,11 +303,30 @@
         self._log.event('outage_ended', **log_fields(self._catalog.as_of))
         self._deferred_removals.start_deferring(at_ms)
 
-    def _apply_due(self) -> None:
-        """Apply removals that were read while this VM was no reader."""
+    async def _apply_due(self) -> None:
+        """Apply removals that were read while this VM was no reader.
+
+        The store is read once more: it may be away again, or may list the
+        servers again.
+        """
         due_ms = self._deferred_removals.next_due_ms()
-        if due_ms is not None and due_ms <= now_ms():
-            self._apply([], self._last_read_revision)
+        if due_ms is None or now_ms() < due_ms:
+            return
+        try:
+            await self.catch_up(self._client)
+        except StoreUnavailable as fault:
+            self.note_failed_call(now_ms())
+            self._log.event(
+                'removals_unconfirmed',
+                fault=str(fault),
+                held_back=len(self._deferred_removals),
+                **log_fields(self._last_read_revision),
+            )
+            # As after a failed call of a reader: the store may just return.
+            self._deferred_removals.start_deferring(now_ms())
+        else:
+            # Open only while this VM reads.
+            self._client.close()
 
     def _note_restored(self, as_of: StoreRevision) -> None:
         """Defer removals, as what was written since the copy is written again.
--- a/tests/test_catalog.py
+++ b/tests/test_catalog.py
@@ -136,6 +136,20 @@
     assert deferred.pop_due(9000) == []
 
 
+def test_removals_wait_for_the_end_of_a_second_outage():
+    deferred = DeferredRemovals()
+    deferred.start_deferring(0)
+    removal = CatalogItem('x', 9, None)
+    deferred.filter_items([removal], 100)
+    deferred.start_deferring(2000)
+    # A call of the first outage that is noted late.
+    deferred.start_deferring(1000)
+    assert deferred.pop_due(3400) == []
+    assert deferred.next_due_ms() == 4300
+    assert deferred.pop_due(4300) == [removal]
+    assert deferred.next_due_ms() is None
+
+
 def test_removal_without_an_outage_applies_at_once():
     removal = CatalogItem('x', 9, None)
     assert DeferredRemovals().filter_items([removal], 5.0) == [removal]
--- a/tests/test_lapsed_entries.py
+++ b/tests/test_lapsed_entries.py
@@ -1,6 +1,7 @@
 """Entries of servers that lapse while the store is away."""
 
 import asyncio
+import logging
 import time
 from functools import partial
 from random import Random
@@ -25,6 +26,8 @@
 # would exceed the time that VMs wait for it.
 pytestmark = pytest.mark.usefixtures('pause_free_clock')
 
+_logger = logging.getLogger(__name__)
+
 OUTAGE_S = 2.5
 #: Servers write their entries again within about 2 s of the store's return.
 BACK_S = 1.8
@@ -72,6 +75,19 @@
     store.remove(KEY)
 
 
+async def go_away_twice(store, mode, brief_s):
+    """Return for a time in which no server writes its entry again."""
+    await go_away(store, mode, loses_watches=True)
+    await asyncio.sleep(brief_s)
+    store.mode = mode
+    store.lose_answers()
+    if mode is StoreMode.RESET:
+        store.cut_all()
+    await asyncio.sleep(OUTAGE_S)
+    store.lose_answers()
+    store.mode = StoreMode.WELL
+
+
 async def count_losses_of(vms, seed, directory, away):
     """Play an outage with a fleet; return how often a VM lacked the server."""
     async with running(directory, seed, vms=vms) as (platform, nodes):
@@ -80,7 +96,17 @@
         await away(platform.store)
         losses = await count_losses(nodes, BACK_S)
         platform.store.put(KEY, entry)
-        return losses + await count_losses(nodes, STEP_S)
+        losses += await count_losses(nodes, STEP_S)
+        if losses:
+            show_lines(platform, vms)
+        return losses
+
+
+def show_lines(platform, vms):
+    """Log what the VMs logged, which pytest shows if the test fails."""
+    for lines in platform.lines.values():
+        for line in lines:
+            _logger.warning('fleet of %s: %s', vms, line)
 
 
 @pytest.mark.parametrize('loses_watches', [True, False])
@@ -103,6 +129,28 @@
     assert not any(asyncio.run(scenario()))
 
 
+@pytest.mark.parametrize('brief_s', [0.4, 1.2])
+@pytest.mark.parametrize(
+    'mode', [StoreMode.SILENT, StoreMode.BUSY, StoreMode.RESET]
+)
+def test_server_whose_entry_lapsed_outlasts_a_second_outage(
+    tmp_path, mode, brief_s
+):
+    """Regression: a removal from between two outages was applied at once.
+
+    It was due while the store was away again, before the server could write
+    its entry.
+    """
+    away = partial(go_away_twice, mode=mode, brief_s=brief_s)
+
+    async def scenario():
+        return await asyncio.gather(
+            *(count_losses_of(vms, 110 + vms, tmp_path, away) for vms in FLEETS)
+        )
+
+    assert not any(asyncio.run(scenario()))
+
+
 async def uses_after_leaving(vms, directory):
     async with running(directory, 90 + vms, vms=vms) as (platform, nodes):
         await asyncio.sleep(CHECKS_BEGIN_S)
