A server that says in its replies that it is leaving gets nothing more (DRAIN)

Load pattern: a server leaves while its entry in the store is old, or can be neither written nor read. Before, it got requests until the VM read the entry.

Change: a reply of any kind (success, failure, refusal, to an abandoned attempt) makes the server's start leaving on that VM. It is the state of a published drain: LeavingServers replaces the state of published records, from whichever source, and the replica is dropped as it is then, with what waits for it. Only a later start of the server is used again. VMs tell each other in their hellos, which is how a VM learns it of a part that a relay brings; a VM of an older version does without the field. A reply of another server at the address (421) says nothing of the server, of its limit neither.

Not tested with 20 and 200 VMs, nor in the stopping or the loss of the VM that told others.

--- a/src/dandelionstage/catalog/servers.py
+++ b/src/dandelionstage/catalog/servers.py
@@ -6,11 +6,15 @@
 
 from .routes import ServiceId
 
-__all__ = ('ServerId', 'ServerRecord', 'ServerState')
+__all__ = ('ServerId', 'ServerRecord', 'ServerStart', 'ServerState')
 
 #: Usually differs between two starts of the same backend server.
 ServerId = NewType('ServerId', str)
 
+#: One start of a server: its id, and the Unix time of the start in
+#: milliseconds.  What a server says of itself ends with its process.
+ServerStart = tuple[ServerId, int]
+
 
 @unique
 class ServerState(Enum):
@@ -45,6 +49,11 @@
     started_ms: int = 0
     sequence: int = 0
 
+    @property
+    def start(self) -> ServerStart:
+        """The start of the server that wrote this."""
+        return (self.server, self.started_ms)
+
     def is_newer_than(self, other: 'ServerRecord') -> bool:
         """Whether the server wrote this after another entry."""
         return (self.started_ms, self.sequence) > (
--- a/src/dandelionstage/gateway/attempt.py
+++ b/src/dandelionstage/gateway/attempt.py
@@ -71,6 +71,7 @@
     :ivar limit_per_s: requests a second that the server takes from all VMs
         together, ``None`` if it names no limit, not a number if the limit
         cannot be read.
+    :ivar is_leaving: whether the server states that it takes no new work.
     """
 
     status: int
@@ -80,6 +81,7 @@
     ran: bool
     is_encoded: bool = False
     limit_per_s: float | None = None
+    is_leaving: bool = False
 
 
 #: How an attempt ended: with a reply, or without one for a reason.
--- a/src/dandelionstage/gateway/reply_reader.py
+++ b/src/dandelionstage/gateway/reply_reader.py
@@ -26,6 +26,7 @@
 _DECIMAL: Final = re.compile(rb'\d{1,9}(\.\d{0,40})?|\.\d{1,40}')
 _TIMEOUT_SECONDS: Final = re.compile(rb'\d{1,9}')
 _TIMEOUT_PARAMETER: Final = b'timeout='
+_IS_LEAVING: Final = b'1'
 _MS_PER_S: Final = 1000
 #: The start of a reply.  Within a head it shows that an earlier reply was cut
 #: off in its head and that this reply follows it.
@@ -55,6 +56,7 @@
         from.
     :ivar missing: number of shards that the answer lacks.
     :ivar limit: requests a second that a server takes from all VMs together.
+    :ivar leaving: ``1`` if a server takes no new work.
     """
 
     request_id: bytes
@@ -65,6 +67,7 @@
     parts: bytes
     missing: bytes
     limit: bytes
+    leaving: bytes
 
 
 @unique
@@ -250,6 +253,8 @@
                 ran=header_names.not_run not in headers,
                 is_encoded=b'content-encoding' in headers,
                 limit_per_s=_read_rate(headers.get(header_names.limit)),
+                is_leaving=headers.get(header_names.leaving, b'').strip()
+                == _IS_LEAVING,
             ),
         )
 
--- a/src/dandelionstage/placing/permit_issuer.py
+++ b/src/dandelionstage/placing/permit_issuer.py
@@ -8,7 +8,7 @@
 from collections import OrderedDict
 from typing import Final, NamedTuple, final
 
-from .server_limits import ServerStart
+from ..catalog.servers import ServerStart
 
 __all__ = ('PERMIT_MS', 'Grant', 'PermitIssuer')
 
--- a/src/dandelionstage/placing/server_limits.py
+++ b/src/dandelionstage/placing/server_limits.py
@@ -14,12 +14,9 @@
 
 import msgspec
 
-from ..catalog.servers import ServerId, ServerRecord
+from ..catalog.servers import ServerId, ServerRecord, ServerStart
 
-__all__ = ('LimitReport', 'ServerLimits', 'ServerStart')
-
-#: A start of a server; a limit ends with the process that named it.
-ServerStart = tuple[ServerId, int]
+__all__ = ('LimitReport', 'ServerLimits')
 
 #: Maximum number of limits in one message, so that it fits into one packet:
 #: those that changed within the time below first, others at random.
--- a/src/dandelionstage/platform/names.py
+++ b/src/dandelionstage/platform/names.py
@@ -23,6 +23,7 @@
     parts=b'x-part-stamps',
     missing=b'x-missing-parts',
     limit=b'server-limit',
+    leaving=b'server-leaving',
 )
 READY_TARGET: Final = b'/api/ready'
 #: Number of the store's history, in all replies of the store.
--- a/src/dandelionstage/platform/node.py
+++ b/src/dandelionstage/platform/node.py
@@ -7,13 +7,13 @@
 from typing import Final, final
 
 from ..catalog.routes import CallerLimits, RouteTable
-from ..catalog.servers import ServerId, ServerRecord
+from ..catalog.servers import ServerId, ServerRecord, ServerStart
 from ..gateway.caller_listener import CallerListener
 from ..gateway.attempt import Attempt, Reply
 from ..gateway.clock import call_later, now_ms
 from ..gateway.delivery_times import DeliveryTimes
 from ..gateway.gateway import Gateway
-from ..gateway.outcomes import is_success
+from ..gateway.outcomes import is_misdirected, is_success
 from ..gateway.read_limits import LimitExceeded, ReadBudget
 from ..gateway.request_schedule import LagEstimate, NetworkMargins
 from ..gateway.run_context import Pool, RouteResponseTimes, RunContext
@@ -27,7 +27,6 @@
 from ..placing.connection_limit import max_connections_per_vm
 from ..placing.fleet_retry_budget import FleetRetryBudgets
 from ..placing.replicas import Replicas
-from ..placing.server_limits import ServerStart
 from ..placing.shard_choice import is_unservable
 from ..placing.slow_server_reports import (
     SlowServer,
@@ -50,7 +49,7 @@
 __all__ = ('Node',)
 
 _MS_PER_S: Final = 1000.0
-#: Changed limits are announced together after this time.
+#: Changed limits and servers that leave are announced together after this time.
 _ANNOUNCEMENT_DELAY_MS: Final = 50.0
 
 
@@ -220,6 +219,7 @@
             self._replicas, now_ms()
         )
         spread.limits.on_change = self._change_limit
+        spread.leaving.on_told = self._drop_told
         spread.permits.find_seeker = self._find_pool
         spread.apply_slow_reports = self._apply_slow_reports
         spread.lend = lambda borrower, asked_ms: self._budgets.lend(
@@ -264,7 +264,21 @@
     def _observe_reply(
         self, record: ServerRecord, attempt: Attempt, reply: Reply
     ) -> None:
-        """Record what a reply says of the server's limit on requests."""
+        """Record what a reply says of the server, also if it is a failure."""
+        if is_misdirected(reply):
+            # Another server has taken the address.
+            return
+        if reply.is_leaving and self._sources.spread.leaving.add(record.start):
+            self._log.event(
+                'server_leaving',
+                server=record.server,
+                service=record.service,
+                evidence='reply',
+                request=attempt.request_id.decode('latin-1'),
+                status=reply.status,
+            )
+            self._drop_start(record.start)
+            self._announce_soon()
         if reply.limit_per_s is not None:
             self._sources.spread.limits.observe_limit(
                 record, reply.limit_per_s, now_ms()
@@ -287,14 +301,25 @@
             evidence='reply' if is_own else 'told',
         )
         if is_own:
-            self._announce_limits()
+            self._announce_soon()
         pool = self._find_pool(start[0])
         if pool is not None and pool.record.started_ms == start[1]:
             pool.limit.change(per_s)
             pool.send_permitted()
 
-    def _announce_limits(self) -> None:
-        """Tell other VMs soon, once for all limits that change meanwhile."""
+    def _drop_told(self, start: ServerStart) -> None:
+        self._log.event('server_leaving', server=start[0], evidence='told')
+        self._drop_start(start)
+        self._announce_soon()
+
+    def _drop_start(self, start: ServerStart) -> None:
+        """Send nothing more to a server, unless it has started again."""
+        replica = self._replicas.replica(start[0])
+        if replica is not None and replica.record.start == start:
+            self._replicas.drop(start[0])
+
+    def _announce_soon(self) -> None:
+        """Tell other VMs soon, once for all that changes meanwhile."""
         if self._announcement is None:
             self._announcement = call_later(
                 _ANNOUNCEMENT_DELAY_MS, self._send_announcement
@@ -334,7 +359,8 @@
         settings = self._settings_file.settings
         return settings.relay_address(host_and_port(vm)[0])
 
-    def _update_server(self, record: ServerRecord) -> None:
+    def _update_server(self, published: ServerRecord) -> None:
+        record = self._sources.spread.leaving.applied_to(published)
         self._log.event(
             'server_listed',
             server=record.server,
--- a/src/dandelionstage/spread/gossip_node.py
+++ b/src/dandelionstage/spread/gossip_node.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from ..catalog.catalog import Catalog
+from ..catalog.leaving_servers import LeavingServers
 from ..catalog.servers import ServerId
 from ..catalog.store_outages import StoreOutages
 from ..gateway.clock import call_later, now_ms
@@ -64,6 +65,7 @@
     :ivar members: table of the known VMs.
     :ivar is_leaving: whether this VM is stopping.
     :ivar outages: when the store answered, and failed to.
+    :ivar leaving: servers that take no new work although they are listed.
     :ivar list_slow_servers: lists the servers that this VM recently found slow.
     :ivar apply_slow_reports: applies another VM's reports of slow servers.
     :ivar loans: retry budget lent and borrowed.
@@ -93,6 +95,7 @@
         self.is_leaving = False
         self.outages = StoreOutages(_RECENT_OUTAGE_MS)
         self.outages.on_news = self.announce_changes
+        self.leaving = LeavingServers()
         self._own = own
         self._data_centre = data_centre
         self._catalog = catalog
@@ -169,6 +172,9 @@
                 self.limits.choose_reports(at_ms, self._random),
                 self.outages.failed_age_ms(at_ms),
                 self.outages.answered_age_ms(at_ms),
+                self.leaving.choose_reports(
+                    self._catalog.servers, self._random
+                ),
             )
         )
 
@@ -204,6 +210,7 @@
         self._puller.pull_if_newer(sender, hello.as_of)
         self.apply_slow_reports(_slow_servers_of(hello))
         self.limits.apply_reports(hello.limits, now_ms())
+        self.leaving.apply_reports(hello.leaving)
 
     def _record_members(self, sender: Address, hello: Hello) -> None:
         """Record the states of the sender and of the VMs that it knows."""
--- a/src/dandelionstage/spread/messages.py
+++ b/src/dandelionstage/spread/messages.py
@@ -62,6 +62,8 @@
     :ivar store_failed_age_ms: time since the store last failed to answer a
         reader, ``None`` if it did not recently.
     :ivar store_answered_age_ms: time since it last answered any VM.
+    :ivar leaving: ids and starts of servers that take no new work, as they
+        stated in replies, although they are listed.
     """
 
     protocol: int
@@ -78,6 +80,7 @@
     limits: Sequence[LimitReport] = ()
     store_failed_age_ms: int | None = None
     store_answered_age_ms: int | None = None
+    leaving: Sequence[tuple[str, int]] = ()
 
 
 @final
--- a/src/dandelionstage/spread/permit_exchange.py
+++ b/src/dandelionstage/spread/permit_exchange.py
@@ -8,13 +8,13 @@
 
 import msgspec
 
-from ..catalog.servers import ServerId, ServerRecord
+from ..catalog.servers import ServerId, ServerRecord, ServerStart
 from ..gateway.run_context import Timer
 from ..model.ids import VmId
 from ..operations.events import EventLog
 from ..placing.permit_issuer import PERMIT_MS, Grant, PermitIssuer
 from ..placing.send_limit import SendLimit
-from ..placing.server_limits import ServerLimits, ServerStart
+from ..placing.server_limits import ServerLimits
 from ..routing.rendezvous import rank_vms
 from .members import Address, Members
 from .permit_messages import PermitReply, PermitRequest, decode, encode
--- a/tests/gateway_harness.py
+++ b/tests/gateway_harness.py
@@ -39,6 +39,7 @@
     parts=b'x-parts',
     missing=b'x-missing',
     limit=b'x-limit',
+    leaving=b'x-leaving',
 )
 
 
--- a/tools/overload/fleet.py
+++ b/tools/overload/fleet.py
@@ -44,6 +44,7 @@
     b'parts',
     b'missing',
     b'limit',
+    b'leaving',
 )
 _MS_PER_S: Final = 1000.0
 _OK: Final = 200
--- a/tools/standins/platform/server.py
+++ b/tools/standins/platform/server.py
@@ -61,6 +61,7 @@
 
     :ivar mode: how requests are treated; may be changed at any time.
     :ivar work_ms: time that one request takes.
+    :ivar is_leaving: whether all its answers say that it is leaving.
     :ivar limit_per_s: rate of requests that its answers name, if any.
     :ivar deadly_target: target of the request that ends the server when it has
         worked on it, if any.
@@ -76,6 +77,7 @@
         """Start well."""
         self.mode = ServerMode.WELL
         self.work_ms: float = 1
+        self.is_leaving = False
         self.limit_per_s: float | None = None
         self.deadly_target: str | None = None
         self.down_s: float = 1
@@ -138,9 +140,9 @@
         request = asked.headers.get('x-request-id', '')
         self.arrived.append((now_ms(), request))
         if asked.headers.get('x-target-instance') != self.server:
-            return _refusal(HTTPStatus.MISDIRECTED_REQUEST, request)
+            return self._refused(HTTPStatus.MISDIRECTED_REQUEST, request)
         if self.mode is ServerMode.SHED:
-            return _refusal(HTTPStatus.SERVICE_UNAVAILABLE, request)
+            return self._refused(HTTPStatus.SERVICE_UNAVAILABLE, request)
         self.at_work += 1
         try:
             return await self._run(asked, request)
@@ -183,7 +185,9 @@
 
     def _failed(self, status: HTTPStatus, request: str, stamp: str) -> bytes:
         self.statuses[stamp] = status
-        return _reply(status, request, stamp=stamp)
+        return _reply(
+            status, request, stamp=stamp, extra=self._leaving_header()
+        )
 
     def _succeeded(self, request: str, stamp: str) -> bytes:
         self.statuses[stamp] = HTTPStatus.OK
@@ -193,7 +197,7 @@
             request,
             body,
             stamp=stamp,
-            extra=self._limit_header(),
+            extra=self._limit_header() + self._leaving_header(),
         )
         if self.mode is ServerMode.STRAY:
             return _reply(HTTPStatus.OK, 'another', _STRAY_BODY) + whole
@@ -202,12 +206,16 @@
     def _limit_header(self) -> str:
         if self.limit_per_s is None:
             return ''
-        return 'Server-Limit: {0}'.format(self.limit_per_s)
+        return 'Server-Limit: {0}\r\n'.format(self.limit_per_s)
 
+    def _leaving_header(self) -> str:
+        return 'Server-Leaving: 1\r\n' if self.is_leaving else ''
 
-def _refusal(status: HTTPStatus, request: str) -> bytes:
-    """Say that a request was not run."""
-    return _reply(status, request, not_run=True)
+    def _refused(self, status: HTTPStatus, request: str) -> bytes:
+        """Say that a request was not run."""
+        return _reply(
+            status, request, not_run=True, extra=self._leaving_header()
+        )
 
 
 def _reply(  # noqa: WPS211 -- one for each part
@@ -225,9 +233,7 @@
     lines.append('Keep-Alive: timeout=10')
     if stamp:
         lines.append('X-Response-Stamp: {0}'.format(stamp))
-    if extra:
-        lines.append(extra)
     if not_run:
         lines.append('X-Not-Executed: 1')
-    head = '\r\n'.join((*lines, '', ''))
+    head = '\r\n'.join((*lines, extra, ''))
     return head.encode() + body
