Work at a server that leaves ends with its caller (GONE)

Cause: attempts were cancelled through the replica of the server, and a server that leaves has none any more.

Change: a request keeps the pools that it has sent to and cancels through them.

Not tried: a server that was replaced at its address.

--- a/src/dandelionstage/gateway/run_helpers.py
+++ b/src/dandelionstage/gateway/run_helpers.py
@@ -83,6 +83,8 @@
         self._route = route
         self._context = context
         self._head = request_head(request, context.header_names)
+        # A server that leaves has no replica, but may still be at work.
+        self._pools: dict[ServerId, Pool] = {}
 
     def send(
         self,
@@ -112,6 +114,7 @@
         if limit_per_s:
             self._log_limited(attempt, replica, limit_per_s)
         replica.throttle.record_sent(self._context.now_ms())
+        self._pools[server] = replica.pool
         replica.pool.submit(attempt)
         return attempt
 
@@ -123,11 +126,12 @@
         """
         if is_slow:
             self.recorder.record_slow(attempt)
-        replica = self._context.replica_of(attempt.server)
-        if replica is None:
+        pool = self._pools.get(attempt.server)
+        if pool is None:
+            # A relay carries it out.
             attempt.ended = True
         else:
-            replica.pool.abandon(attempt)
+            pool.abandon(attempt)
 
     def take_extra(self, service: ServiceId, purpose: AttemptPurpose) -> bool:
         """Take an extra attempt from the budget of a service, and log it.
--- a/tests/test_platform_nodes.py
+++ b/tests/test_platform_nodes.py
@@ -22,6 +22,9 @@
 _ids = itertools.count(1)
 #: Grace period in the settings, from the stop signal to the kill.
 GRACE_S = 6
+#: Servers may work on for this long after a caller has gone, and the stand-in
+#: notices.
+CALLER_GONE_S = 0.5
 SHARDS = ('s1', 's2', 's3', 's4')
 QUERY = MappingProxyType(
     {
@@ -470,6 +473,38 @@
     asyncio.run(scenario())
 
 
+@pytest.mark.parametrize('leaves', ['drains', 'is removed'])
+@pytest.mark.parametrize('path', ['/q/x', '/l/x'])
+def test_work_at_a_leaving_server_ends_with_its_caller(tmp_path, leaves, path):
+    """Regression: servers worked on for callers that had gone (GONE).
+
+    The server had left the list meanwhile, so the attempt was not cancelled.
+    """
+
+    async def scenario():
+        async with running(tmp_path, 19, replicas=1) as (platform, (node,)):
+            platform.publish(4, [QUERY, ORDER, LOOKUP])
+            await platform.until(lambda: version_at(node) == 4)
+            name = 'i-1' if path == '/q/x' else 'i-5'
+            service = 's1' if path == '/q/x' else 'orders'
+            server = platform.servers[name]
+            server.work_ms = 4000
+            call = asyncio.create_task(request_path(node, path, left_ms=5000))
+            await platform.until(lambda: server.at_work)
+            key = 'servers/{0}'.format(name)
+            if leaves == 'is removed':
+                platform.store.remove(key)
+            else:
+                entry = server.entry(service, 'a', seq=2, state='draining')
+                platform.store.put(key, entry)
+            await platform.until(lambda: node._replicas.replica(name) is None)
+            call.cancel()
+            await asyncio.sleep(CALLER_GONE_S)
+            assert not server.at_work
+
+    asyncio.run(scenario())
+
+
 def test_fleets_in_one_folder_have_their_own_settings(tmp_path):
     """Regression: VMs of a test joined another fleet of the same test."""
     fleets = [Platform(seed, tmp_path) for seed in (1, 2)]
