A server that asks for quiet in a refusal is sent nothing for that time (BUDGET)

Load pattern: a server that cannot keep up refuses, and its callers' VMs ask it again at once; where all replicas do so, requests are refused one by one.

Change: the VM notes the end of the quiet time by the start of the server. Its SendLimit refuses until then, where replicas are chosen; what waits for a connection or a permit ends as not sent and goes to other servers. Afterwards the VM may have one request there, and one more each 0.1 s, for a second. If all servers of a service or of too many shards ask for quiet, requests are refused at once with a Retry-After of what is left; a query in progress, too. One hour at most; dates, negative and unreadable values, and zero ask for nothing.

Tests: one of two replicas with 1 and 2 VMs; all replicas, for queries and orders, and that the delay told is true; values of the header; the ramp. 4 failed with the line that reads the header left out.

--- a/src/dandelionstage/gateway/attempt.py
+++ b/src/dandelionstage/gateway/attempt.py
@@ -72,6 +72,7 @@
         together, ``None`` if it names no limit, not a number if the limit
         cannot be read.
     :ivar is_leaving: whether the server states that it takes no new work.
+    :ivar quiet_ms: how long the server asks this VM to send it nothing.
     """
 
     status: int
@@ -82,6 +83,7 @@
     is_encoded: bool = False
     limit_per_s: float | None = None
     is_leaving: bool = False
+    quiet_ms: float = 0
 
 
 #: How an attempt ended: with a reply, or without one for a reason.
--- a/src/dandelionstage/gateway/gateway.py
+++ b/src/dandelionstage/gateway/gateway.py
@@ -13,6 +13,7 @@
 from ..placing.shard_choice import (
     is_limited,
     is_unservable,
+    quiet_left_ms,
     unreachable_shards,
 )
 from .gather_run import GatherRun
@@ -133,7 +134,19 @@
         if reason is None:
             self._run(request, route, send_answer, is_trial=is_trial)
         else:
-            send_answer(self._refuse_unavailable(request, reason))
+            send_answer(
+                self._refuse_unavailable(
+                    request, reason, self._quiet_left_ms(route)
+                )
+            )
+
+    def _quiet_left_ms(self, route: Route) -> float:
+        """Return for how long servers ask for too much quiet for a query."""
+        if route.gather is None:
+            return 0
+        return quiet_left_ms(
+            route.gather, self._context.replicas, self._context.now_ms()
+        )
 
     def _verdict(self, request: CallerRequest) -> Verdict:
         """Return what the ends of servers say of a request."""
@@ -343,16 +356,21 @@
         return True
 
     def _refuse_unavailable(
-        self, request: CallerRequest, reason: RefusalReason
+        self,
+        request: CallerRequest,
+        reason: RefusalReason,
+        min_wait_ms: float = 0,
     ) -> Answer:
         """Refuse a request that has not run, with a delay for the retry.
 
         The delay is random, so that callers do not retry all at once.
+
+        :param min_wait_ms: time for which a retry would be refused too.
         """
         min_delay_ms = _RETRY_AFTER_MS.get(reason)
         retry_after_ms = None
         if min_delay_ms is not None:
-            retry_after_ms = self._context.random.uniform(
+            retry_after_ms = min_wait_ms + self._context.random.uniform(
                 min_delay_ms, 2 * min_delay_ms
             )
         return self._refuse(
--- a/src/dandelionstage/gateway/gather_run.py
+++ b/src/dandelionstage/gateway/gather_run.py
@@ -5,7 +5,11 @@
 from typing import Final, final
 
 from ..catalog.routes import Gather, Route
-from ..placing.shard_choice import choose_skipped_shards, unreachable_shards
+from ..placing.shard_choice import (
+    choose_skipped_shards,
+    quiet_left_ms,
+    unreachable_shards,
+)
 from ..retries.backoff import backoff_ms
 from .attempt import AttemptPurpose
 from .records import greatest_records
@@ -209,6 +213,10 @@
             self._reach_target()
             return
         now_ms = self._context.now_ms()
+        quiet_ms = quiet_left_ms(self._gather, self._context.replicas, now_ms)
+        if quiet_ms:
+            self._give_up('servers ask to be sent nothing', quiet_ms)
+            return
         repeat_at_ms = now_ms + backoff_ms(
             _FIRST_BACKOFF_ATTEMPT + self._repeat_rounds,
             0,
@@ -255,14 +263,17 @@
                 now_ms + self._schedule.hedge_delay_ms, self._hedge
             )
 
-    def _give_up(self, reason: str) -> None:
-        """Answer a request that is not sent to further servers."""
+    def _give_up(self, reason: str, wait_ms: float = 0) -> None:
+        """Answer a request that is not sent to further servers.
+
+        :param wait_ms: time for which another request would be refused too.
+        """
         if self._shards.was_sent:
             self._fail(HTTPStatus.BAD_GATEWAY, reason)
             return
         status = HTTPStatus.SERVICE_UNAVAILABLE
         self._log_end('query_failed', status, reason)
-        retry_after_ms = self._context.random.uniform(
+        retry_after_ms = wait_ms + self._context.random.uniform(
             _RETRY_AFTER_MS, 2 * _RETRY_AFTER_MS
         )
         self._answer.send(error_answer(status, reason, retry_after_ms))
--- a/src/dandelionstage/gateway/reply_reader.py
+++ b/src/dandelionstage/gateway/reply_reader.py
@@ -27,6 +27,10 @@
 _TIMEOUT_SECONDS: Final = re.compile(rb'\d{1,9}')
 _TIMEOUT_PARAMETER: Final = b'timeout='
 _IS_LEAVING: Final = b'1'
+_UNAVAILABLE: Final = 503
+_RETRY_AFTER: Final = b'retry-after'
+#: A server that asks for more is asked again after this time.
+_MAX_QUIET_MS: Final = 3_600_000.0
 _MS_PER_S: Final = 1000
 #: The start of a reply.  Within a head it shows that an earlier reply was cut
 #: off in its head and that this reply follows it.
@@ -255,6 +259,11 @@
                 limit_per_s=_read_rate(headers.get(header_names.limit)),
                 is_leaving=headers.get(header_names.leaving, b'').strip()
                 == _IS_LEAVING,
+                quiet_ms=(
+                    _read_delay_ms(headers.get(_RETRY_AFTER, b''))
+                    if status == _UNAVAILABLE
+                    else 0
+                ),
             ),
         )
 
@@ -310,6 +319,13 @@
             self.idle_timeout_ms = int(digits) * _MS_PER_S
 
 
+def _read_delay_ms(header: bytes) -> float:
+    """Read a delay in seconds, 0 if it is none: a date, or unreadable."""
+    if not _DECIMAL.fullmatch(header.strip()):
+        return 0
+    return min(_MAX_QUIET_MS, float(header) * _MS_PER_S)
+
+
 def _read_rate(header: bytes | None) -> float | None:
     """Read a decimal rate, ``None`` if there is none.
 
--- a/src/dandelionstage/gateway/server_pool.py
+++ b/src/dandelionstage/gateway/server_pool.py
@@ -126,10 +126,13 @@
 
     def refuse_unpermitted(self) -> None:
         """End the attempts that wait for a permit."""
-        waiting = tuple(self._unpermitted)
-        self._unpermitted.clear()
-        for attempt in waiting:
-            attempt.end(NoReply.LIMITED)
+        _end_all(self._unpermitted)
+
+    def rest(self, until_ms: float) -> None:
+        """Send nothing before a time; end all attempts that wait."""
+        self.limit.rest(until_ms)
+        _end_all(self._unpermitted)
+        _end_all(self._waiting)
 
     def abandon(self, attempt: Attempt) -> None:
         """Drop an attempt; one that was sent gets a short time to finish."""
@@ -285,3 +288,11 @@
                 return
             attempt.end(NoReply.EXPIRED)
         self._idle.append(connection)
+
+
+def _end_all(queue: deque[Attempt]) -> None:
+    """End the attempts of a queue as not sent because of a limit."""
+    waiting = tuple(queue)
+    queue.clear()
+    for attempt in waiting:
+        attempt.end(NoReply.LIMITED)
--- a/src/dandelionstage/gateway/single_run.py
+++ b/src/dandelionstage/gateway/single_run.py
@@ -238,8 +238,14 @@
 
     def _refuse(self, reason: str) -> None:
         """Refuse a request that has not run and will not run."""
-        retry_after_ms = _RETRY_AFTER_MS + self._context.random.random() * (
-            _RETRY_SPREAD_MS
+        retry_after_ms = (
+            max(
+                _RETRY_AFTER_MS,
+                self._context.replicas.quiet_left_ms(
+                    self._service, self._context.now_ms()
+                ),
+            )
+            + self._context.random.random() * _RETRY_SPREAD_MS
         )
         status = HTTPStatus.SERVICE_UNAVAILABLE
         self._log_end('request_refused', status, reason)
--- a/src/dandelionstage/placing/replicas.py
+++ b/src/dandelionstage/placing/replicas.py
@@ -122,7 +122,7 @@
     def cost(self, now_ms: float) -> float:
         """Return the relative cost of one more request; lower is better.
 
-        :returns: infinity if the server's limit does not permit one.
+        :returns: infinity if the server does not permit one.
         """
         cost = (self.pool.load + 1) * self.slowness.ratio(now_ms)
         if self.is_remote:
@@ -131,7 +131,7 @@
             cost *= _NEW_CONNECTION_FACTOR
         if now_ms < self.cold_until_ms:
             cost *= _COLD_FACTOR
-        if self.pool.limit.is_refused(now_ms):
+        if self.pool.limit.is_refused(now_ms, self.pool.load):
             return _INFINITE
         return cost
 
@@ -263,6 +263,19 @@
             for replica in self.for_service(service)
         )
 
+    def quiet_left_ms(self, service: ServiceId, now_ms: float) -> float:
+        """Return how long all servers of a service ask to be sent nothing.
+
+        :returns: 0 if one of them does not.
+        """
+        return min(
+            (
+                replica.pool.limit.quiet_left_ms(now_ms)
+                for replica in self.for_service(service)
+            ),
+            default=0,
+        )
+
     def _with_jitter(self, cost: float) -> float:
         """Return a cost increased by up to 1 %, which only breaks ties."""
         return cost * (1 + self._random.random() * _JITTER)
--- a/src/dandelionstage/placing/send_limit.py
+++ b/src/dandelionstage/placing/send_limit.py
@@ -1,9 +1,12 @@
-"""Permits of one VM to send requests to a server that limits them.
+"""Whether one VM may send requests to a server that limits them.
 
-Load pattern: a server names a rate of requests for all VMs together.  Each of
-many VMs sends only a few requests a second, often fewer than one, so fixed
-shares of the rate would be too small to send anything; permits go to the VMs
-that have requests.
+A server may ask a VM to send it nothing for a time.  Afterwards the VM sends it
+one request at a time, then more, as all VMs that it asked return together.
+
+Load pattern of the permits: a server names a rate of requests for all VMs
+together.  Each of many VMs sends only a few requests a second, often fewer than
+one, so fixed shares of the rate would be too small to send anything; permits go
+to the VMs that have requests.
 """
 
 import math
@@ -19,6 +22,10 @@
 _DEMAND_MS: Final = 1000.0
 #: Maximum number of permits in one request.
 _MAX_WANTED: Final = 100
+#: After a quiet time, the VM may have one more request at the server each time
+#: that the first value has passed, until the second.
+_RAMP_STEP_MS: Final = 100.0
+_RAMP_MS: Final = 1000.0
 
 
 @final
@@ -33,6 +40,7 @@
         '_demand',
         '_demand_ms',
         '_permits',
+        '_quiet_until_ms',
         '_refused_until_ms',
         'per_s',
     )
@@ -42,6 +50,7 @@
         self.per_s: float = 0
         self._permits: deque[float] = deque()
         self._refused_until_ms = -_INFINITE
+        self._quiet_until_ms = -_INFINITE
         self._demand: float = 0
         self._demand_ms: float = 0
 
@@ -69,12 +78,27 @@
         """Record that no VM grants permits before a time."""
         self._refused_until_ms = until_ms
 
-    def is_refused(self, now_ms: float) -> bool:
+    def rest(self, until_ms: float) -> None:
+        """Send nothing before a time, as the server has asked for that."""
+        self._quiet_until_ms = max(self._quiet_until_ms, until_ms)
+
+    def quiet_left_ms(self, now_ms: float) -> float:
+        """Return how much of a quiet time is left, in ms."""
+        return max(0, self._quiet_until_ms - now_ms)
+
+    def is_refused(self, now_ms: float, load: int = 0) -> bool:
         """Whether a request could not be sent now.
 
+        :param load: unfinished requests of this VM at the server.
+
         A server for which permits may be requested is used like any other:
         only its replies tell when its limit ends.
         """
+        since_quiet_ms = now_ms - self._quiet_until_ms
+        if since_quiet_ms < _RAMP_MS and (
+            since_quiet_ms < 0 or load > since_quiet_ms // _RAMP_STEP_MS
+        ):
+            return True
         return self._refused_until_ms > now_ms and not self._has_permit(now_ms)
 
     def record_demand(self, now_ms: float) -> None:
--- a/src/dandelionstage/placing/shard_choice.py
+++ b/src/dandelionstage/placing/shard_choice.py
@@ -10,6 +10,7 @@
     'choose_skipped_shards',
     'is_limited',
     'is_unservable',
+    'quiet_left_ms',
     'should_skip',
     'unreachable_shards',
 )
@@ -80,6 +81,19 @@
     return refused > len(gather.shards) - gather.least_parts
 
 
+def quiet_left_ms(
+    gather: Gather, replicas: Replicas[Any], now_ms: float
+) -> float:
+    """Return how long too many shards have only servers that ask for quiet.
+
+    :returns: 0 if enough shards have others.
+    """
+    left_ms = sorted(
+        replicas.quiet_left_ms(shard, now_ms) for shard in gather.shards
+    )
+    return left_ms[gather.least_parts - 1] if gather.least_parts else 0
+
+
 def unreachable_shards(
     gather: Gather, replicas: Replicas[Any], now_ms: float
 ) -> tuple[ServiceId, ...]:
--- a/src/dandelionstage/platform/node.py
+++ b/src/dandelionstage/platform/node.py
@@ -26,6 +26,7 @@
 from ..operations.supervision import start_supervised
 from ..placing.connection_limit import max_connections_per_vm
 from ..placing.fleet_retry_budget import FleetRetryBudgets
+from ..placing.quiet_servers import QuietServers
 from ..placing.replicas import Replicas
 from ..placing.shard_choice import is_unservable
 from ..placing.slow_server_reports import (
@@ -51,6 +52,9 @@
 _MS_PER_S: Final = 1000.0
 #: Changed limits and servers that leave are announced together after this time.
 _ANNOUNCEMENT_DELAY_MS: Final = 50.0
+#: A quiet time that ends this much later than the one known is logged; a server
+#: that refuses several requests at a time asks for it in each reply.
+_QUIET_NEWS_MS: Final = 50.0
 
 
 @final
@@ -76,6 +80,7 @@
         self._replicas: Replicas[Pool] = Replicas(
             settings.zone, self._make_pool, random
         )
+        self._quiet = QuietServers()
         self._announcement: asyncio.TimerHandle | None = None
         # One for each side, so that servers do not displace callers.
         self._reply_budget = ReadBudget(settings.unfinished_bytes)
@@ -279,6 +284,8 @@
             )
             self._drop_start(record.start)
             self._announce_soon()
+        if reply.quiet_ms:
+            self._keep_quiet(record, attempt, reply.quiet_ms)
         if reply.limit_per_s is not None:
             self._sources.spread.limits.observe_limit(
                 record, reply.limit_per_s, now_ms()
@@ -288,6 +295,23 @@
                 record, attempt.sent_ms, now_ms()
             )
 
+    def _keep_quiet(
+        self, record: ServerRecord, attempt: Attempt, quiet_ms: float
+    ) -> None:
+        """Send nothing to a server for a time, as it has asked for that."""
+        until_ms = now_ms() + quiet_ms
+        if self._quiet.add(record.start, until_ms) >= _QUIET_NEWS_MS:
+            self._log.event(
+                'server_quiet',
+                server=record.server,
+                service=record.service,
+                request=attempt.request_id.decode('latin-1'),
+                quiet_ms=round(quiet_ms),
+            )
+        pool = self._find_pool(record.server)
+        if pool is not None and pool.record.start == record.start:
+            pool.rest(until_ms)
+
     def _change_limit(
         self,
         start: ServerStart,
@@ -372,6 +396,8 @@
         self._replicas.update(record, now_ms())
         replica = self._replicas.replica(record.server)
         per_s = self._sources.spread.limits.per_s(record)
+        if replica is not None:
+            replica.pool.limit.rest(self._quiet.until_ms(record.start))
         if replica is not None and replica.pool.limit.per_s != per_s:
             replica.pool.limit.change(per_s)
 
--- a/tools/standins/platform/server.py
+++ b/tools/standins/platform/server.py
@@ -62,6 +62,7 @@
     :ivar mode: how requests are treated; may be changed at any time.
     :ivar work_ms: time that one request takes.
     :ivar is_leaving: whether all its answers say that it is leaving.
+    :ivar quiet_s: delay that its refusals ask for, as in the header, if any.
     :ivar limit_per_s: rate of requests that its answers name, if any.
     :ivar deadly_target: target of the request that ends the server when it has
         worked on it, if any.
@@ -78,6 +79,7 @@
         self.mode = ServerMode.WELL
         self.work_ms: float = 1
         self.is_leaving = False
+        self.quiet_s: str | None = None
         self.limit_per_s: float | None = None
         self.deadly_target: str | None = None
         self.down_s: float = 1
@@ -213,9 +215,14 @@
 
     def _refused(self, status: HTTPStatus, request: str) -> bytes:
         """Say that a request was not run."""
-        return _reply(
-            status, request, not_run=True, extra=self._leaving_header()
-        )
+        extra = self._leaving_header() + self._quiet_header(status)
+        return _reply(status, request, not_run=True, extra=extra)
+
+    def _quiet_header(self, status: HTTPStatus) -> str:
+        is_shed = status is HTTPStatus.SERVICE_UNAVAILABLE
+        if self.quiet_s is None or not is_shed:
+            return ''
+        return 'Retry-After: {0}\r\n'.format(self.quiet_s)
 
 
 def _reply(  # noqa: WPS211 -- one for each part
