The soak plays servers that say they leave, and servers that ask for quiet

The second check leaves out servers whose connections were disturbed, and shards whose queries are relayed, as the sender is not known there.

Each check finds a made-up break of its promise and passes what is allowed.

--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -16,14 +16,17 @@
 SET = ('s0', 's1', 's2')
 
 
+def make_server(name):
+    return SimpleNamespace(
+        server=name, runs=[], arrived=[], statuses={}, asked_quiet=[]
+    )
+
+
 def make_place():
     """A place in which nothing has happened."""
     life = Life(0.0)
     services = {'i-1': 's0', 'i-2': 's1', 'i-3': 's2', 'i-4': ORDERS}
-    servers = {
-        name: SimpleNamespace(runs=[], arrived=[], statuses={})
-        for name in services
-    }
+    servers = {name: make_server(name) for name in services}
     return SimpleNamespace(
         platform=SimpleNamespace(servers=servers),
         vms=[SimpleNamespace(host='h', lives=[life])],
@@ -32,6 +35,9 @@
         published_ms=[0.0, 1000.0],
         sets=[SET],
         drained_ms={},
+        announced_ms={},
+        spoiled_ways=set(),
+        has_relays=False,
         store_spells=[],
         stalls=Stalls(),
     )
@@ -181,14 +187,48 @@
     assert check(place)
 
 
+def test_request_to_a_server_that_said_it_leaves_is_found():
+    place = make_place()
+    place.announced_ms['i-4'] = 1000.0
+    give(place, 'i-4.1', 200)
+    stamped = {'x-response-stamp': 'i-4.1'}
+    told = make_asked(place, headers=stamped, sent_ms=1100.0, ended_ms=1200.0)
+    soon = make_asked(place, request='r2', sent_ms=4100.0)
+    late = make_asked(place, request='r3', sent_ms=4300.0)
+    for each in (told, soon):
+        arrived_at(place, 'i-4').append((each.sent_ms, each.request))
+    assert not check(place, told, soon, late)
+    arrived_at(place, 'i-4').append((late.sent_ms, late.request))
+    assert not check(place, soon, late)
+    assert check(place, told, soon, late)
+    life_of(place).is_calm = False
+    assert not check(place, told, soon, late)
+
+
+def test_requests_to_a_server_that_wants_quiet_are_found():
+    place = make_place()
+    server = place.platform.servers['i-4']
+    server.asked_quiet.append((1000.0, 'r1', 2000.0))
+    requests = [
+        make_asked(place, request='r{0}'.format(number))
+        for number in range(1, 8)
+    ]
+    came_ms = (1000.0, 1400.0, 3100.0, 1600.0, 1700.0)
+    for at_ms, each in zip(came_ms, requests, strict=False):
+        arrived_at(place, 'i-4').append((at_ms, each.request))
+    assert not check(place, *requests)
+    arrived_at(place, 'i-4').append((2900.0, 'r7'))
+    assert check(place, *requests)
+    place.spoiled_ways.add('i-4')
+    assert not check(place, *requests)
+
+
 def test_requests_sent_to_too_many_servers_are_found():
     place = make_place()
     for number in range(5, 8):
         name = 'i-{0}'.format(number)
         place.service_of[name] = 's0'
-        place.platform.servers[name] = SimpleNamespace(
-            runs=[], arrived=[], statuses={}
-        )
+        place.platform.servers[name] = make_server(name)
     for request in ('r1', 'r2', 'r3', 'r4'):
         assert not check(place)
         for number in (1, 5, 6):
--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -21,6 +21,7 @@
 _Member = TypeVar('_Member', bound=Enum)
 
 _SPELL_S: Final = (0.3, 2.5)
+_QUIET_S: Final = (0.01, 3.0)
 _MOMENT_S: Final = (0.05, 0.5)
 _LEVELS: Final = 1200
 _ODD_VALUES: Final = (
@@ -81,7 +82,9 @@
 
 
 async def _spoil_way(place: Place) -> None:
-    proxy = place.proxies[_any_server(place).server]
+    name = _any_server(place).server
+    place.spoiled_ways.add(name)
+    proxy = place.proxies[name]
     proxy.way = _any_bad_way(place)
     await asyncio.sleep(_spell_s(place))
     proxy.way = Way.OPEN
@@ -133,6 +136,20 @@
     await place.replace_server(place.random.choice(sorted(place.servers)))
 
 
+async def _announce_leaving(place: Place) -> None:
+    await place.announce_leaving(place.random.choice(sorted(place.servers)))
+
+
+async def _ask_quiet(place: Place) -> None:
+    """Refuse all requests and ask for quiet, often longer than that lasts."""
+    server = _any_server(place)
+    server.quiet_s = '{0:.2f}'.format(place.random.uniform(*_QUIET_S))
+    server.mode = ServerMode.SHED
+    await asyncio.sleep(_spell_s(place))
+    server.mode = ServerMode.WELL
+    server.quiet_s = None
+
+
 def _sorted(members: Iterable[_Member]) -> list[_Member]:
     """Put the members of an enumeration in an order that never changes."""
     return sorted(members, key=lambda member: str(member.value))
@@ -154,5 +171,7 @@
         _write_odd_entry: 1,
         _publish: 3,
         _replace_server: 2,
+        _announce_leaving: 2,
+        _ask_quiet: 3,
     },
 )
--- a/tools/soak/place.py
+++ b/tools/soak/place.py
@@ -51,6 +51,9 @@
     :ivar published_ms: when each version of the routes was written.
     :ivar sets: the shards of each version.
     :ivar drained_ms: when a server was said to be leaving.
+    :ivar announced_ms: when a server that is still listed began to say in its
+        replies that it is leaving.
+    :ivar spoiled_ways: servers whose connections were disturbed.
     :ivar store_spells: spells in which the store was disturbed.
     :ivar stalls: when the soak itself stood still.
     """
@@ -72,6 +75,8 @@
         self.published_ms: list[float] = []
         self.sets: list[tuple[str, ...]] = []
         self.drained_ms: dict[str, float] = {}
+        self.announced_ms: dict[str, float] = {}
+        self.spoiled_ways: set[str] = set()
         self.store_spells: list[tuple[float, float]] = []
         self.stalls = Stalls()
         self._vm_count = vm_count
@@ -98,6 +103,19 @@
         self._list(server, 'a', 'draining')
         self.drained_ms[name] = now_ms()
 
+    async def announce_leaving(self, name: str) -> None:
+        """Start another server; this one says in its replies that it leaves."""
+        server = self.servers.pop(name)
+        self.proxies.pop(name)
+        await self.add_server(self.service_of[name])
+        server.is_leaving = True
+        self.announced_ms[name] = now_ms()
+
+    @property
+    def has_relays(self) -> bool:
+        """Whether queries are shared between VMs."""
+        return len(self._shards) == _MANY_SHARDS
+
     def publish(self) -> None:
         """Write the next version, with a route that is new in it."""
         version = len(self.published_ms) + 1
--- a/tools/soak/promises.py
+++ b/tools/soak/promises.py
@@ -1,12 +1,14 @@
 """What must hold of all that callers and backend servers saw."""
 
 from collections import Counter
-from collections.abc import Callable, Iterator, Sequence
+from collections.abc import Iterator, Sequence
 from typing import Final
 
 from .callers import Asked
 from .place import LEAST_COVERAGE, ORDERS, Place
+from .server_statements import check_statements
 from .vms import Ending, Life
+from .windows import within
 
 __all__ = ('broken_promises',)
 
@@ -39,8 +41,14 @@
         yield from _check_order(each, runs)
         yield from _check_answer(each, place)
         yield from _check_end(each, place)
+    yield from _check_place(place, asked)
+
+
+def _check_place(place: Place, asked: Sequence[Asked]) -> Iterator[str]:
+    """Check what only all requests together show."""
     yield from _check_versions(place, asked)
     yield from _check_drains(place)
+    yield from check_statements(place, asked)
     yield from _check_budgets(place)
     yield from _check_attempts(place)
     for vm in place.vms:
@@ -257,20 +265,15 @@
     return extras_ms
 
 
-def _within(from_ms: float, to_ms: float) -> Callable[[float], bool]:
-    """Return what tells whether a time lies within a window."""
-    return lambda at_ms: from_ms <= at_ms < to_ms
-
-
 def _check_budget(
     service: str,
     arrived: Sequence[tuple[float, str]],
     extras_ms: Sequence[float],
 ) -> Iterator[str]:
     for start_ms in extras_ms:
-        within = _within(start_ms, start_ms + _BUDGET_MS)
-        spent = sum(map(within, extras_ms))
-        paid = sum(within(at_ms) for at_ms, _ in arrived) - spent
+        is_within = within(start_ms, start_ms + _BUDGET_MS)
+        spent = sum(map(is_within, extras_ms))
+        paid = sum(is_within(at_ms) for at_ms, _ in arrived) - spent
         if spent > _BUDGET_RATIO * paid + _BUDGET_SLACK:
             yield '{0}: {1} extra attempts at {2} requests'.format(
                 service, spent, paid
--- a/tools/standins/platform/server.py
+++ b/tools/standins/platform/server.py
@@ -62,6 +62,8 @@
     :ivar mode: how requests are treated; may be changed at any time.
     :ivar work_ms: time that one request takes.
     :ivar is_leaving: whether all its answers say that it is leaving.
+    :ivar asked_quiet: when it refused a request and asked for quiet, the id of
+        the request, and for how many milliseconds.
     :ivar quiet_s: delay that its refusals ask for, as in the header, if any.
     :ivar limit_per_s: rate of requests that its answers name, if any.
     :ivar deadly_target: target of the request that ends the server when it has
@@ -80,6 +82,7 @@
         self.work_ms: float = 1
         self.is_leaving = False
         self.quiet_s: str | None = None
+        self.asked_quiet: list[tuple[float, str, float]] = []
         self.limit_per_s: float | None = None
         self.deadly_target: str | None = None
         self.down_s: float = 1
@@ -215,13 +218,15 @@
 
     def _refused(self, status: HTTPStatus, request: str) -> bytes:
         """Say that a request was not run."""
-        extra = self._leaving_header() + self._quiet_header(status)
+        extra = self._leaving_header() + self._quiet_header(status, request)
         return _reply(status, request, not_run=True, extra=extra)
 
-    def _quiet_header(self, status: HTTPStatus) -> str:
+    def _quiet_header(self, status: HTTPStatus, request: str) -> str:
         is_shed = status is HTTPStatus.SERVICE_UNAVAILABLE
         if self.quiet_s is None or not is_shed:
             return ''
+        quiet_ms = float(self.quiet_s) * _MS_PER_S
+        self.asked_quiet.append((now_ms(), request, quiet_ms))
         return 'Retry-After: {0}\r\n'.format(self.quiet_s)
 
 
