A spoiled success is not forwarded (MIXED)

Cause: such a reply is no success, but as a failure it was forwarded if its status is below 500. The same for a body with a content encoding.

Change: a reply of 2xx that is no success goes nowhere: requests that may be repeated are, others get 502 without the reply's headers.

--- a/src/dandelionstage/gateway/single_run.py
+++ b/src/dandelionstage/gateway/single_run.py
@@ -26,6 +26,11 @@
     600,  # noqa: WPS432 -- status
 )
 
+#: Replies with these that are no success lack the signature or are encoded.
+_SUCCESSES: Final = range(
+    HTTPStatus.OK.value,
+    HTTPStatus.MULTIPLE_CHOICES.value,
+)
 #: A caller takes these to mean that the request has not run and will not run.
 _NOT_RUN_STATUSES: Final = frozenset(
     (
@@ -277,12 +282,15 @@
 
 def _may_pass(status: int) -> bool:
     """Whether another server may succeed where one failed with a status."""
-    return status in _SERVER_ERRORS or status in _NOT_RUN_STATUSES
+    return any(
+        status in statuses
+        for statuses in (_SUCCESSES, _SERVER_ERRORS, _NOT_RUN_STATUSES)
+    )
 
 
 def _is_final(reply: Reply) -> bool:
     """Whether an error reply is the server's own, to be forwarded unchanged."""
-    if reply.status in _NOT_RUN_STATUSES:
+    if reply.status in _NOT_RUN_STATUSES or reply.status in _SUCCESSES:
         return False
     return bool(reply.stamp) or reply.status not in _SERVER_ERRORS
 
@@ -290,5 +298,7 @@
 def _doubt(outcome: Outcome) -> str:
     """Return why it is unknown whether a server ran a request."""
     if isinstance(outcome, Reply):
+        if outcome.status in _SUCCESSES:
+            return 'the reply is not signed or not as the server wrote it'
         return 'the server did not state whether the request ran'
     return 'the server gave no whole reply'
--- a/tests/test_single_run.py
+++ b/tests/test_single_run.py
@@ -76,6 +76,38 @@
     assert b'x-stamp' not in dict(answer.headers)
 
 
+UNSIGNED = Reply(200, (), b'body', '', ran=True)
+ENCODED = Reply(
+    200,
+    ((b'x-stamp', b's.9'), (b'content-encoding', b'gzip')),
+    b'body',
+    's.9',
+    ran=True,
+    is_encoded=True,
+)
+
+
+@pytest.mark.parametrize('spoiled', [UNSIGNED, ENCODED])
+def test_spoiled_success_is_not_told_as_a_success(spoiled):
+    """Regression: a reply whose signature was spoiled was forwarded (MIXED)."""
+    harness = GatewayHarness({'s': 3})
+    start(harness, attempts=3)
+    harness.pending('s')[0].end(spoiled)
+    assert len(harness.submitted('s')) == 1
+    assert [answer.status for answer in harness.answers] == [502]
+    assert harness.answers[0].body != spoiled.body
+
+
+@pytest.mark.parametrize('spoiled', [UNSIGNED, ENCODED])
+def test_spoiled_success_of_an_idempotent_request_is_repeated(spoiled):
+    harness = GatewayHarness({'s': 3})
+    start(harness, attempts=2, repeat_policy=RepeatPolicy.IDEMPOTENT)
+    harness.pending('s')[0].end(spoiled)
+    harness.pending('s')[0].end(success_reply(b'whole'))
+    answer = exactly_one(harness.answers)
+    assert (answer.status, answer.body) == (200, b'whole')
+
+
 @pytest.mark.parametrize('status', [408, 421, 429, 503])
 def test_failure_in_doubt_of_an_idempotent_request_is_repeated(status):
     harness = GatewayHarness({'s': 3})
