Tests of leaving and quiet servers do not wait for a server to be chosen

Cause: the test. A VM that has one request at a time may stay with the server that it is connected to, so that the other one never gets any.

Change: the first requests come ten at a time, of which no server gets all, and there is no loop. The checks are the same, and now of more than one refused order. Of test_quiet_servers the same: its server might never have been asked.

--- a/tests/test_leaving_servers.py
+++ b/tests/test_leaving_servers.py
@@ -19,6 +19,8 @@
 
 LEAVING = 'i-1'
 KEY = 'servers/i-1'
+#: Requests of one VM at a time that no server gets all of.
+AT_A_TIME = 10
 #: Replies that are on their way when the first one arrives.
 IN_FLIGHT_S = 0.1
 #: ``drainMs``.
@@ -37,23 +39,26 @@
 )
 
 
-async def send_all(nodes, count, path='/q/x'):
+async def send_all(nodes, count, path='/q/x', method='GET'):
     """Send requests to each VM at a time; return the answers."""
     async with httpx.AsyncClient(timeout=10, trust_env=False) as client:
         calls = [
-            request_path(node, path, client)
+            request_path(node, path, client, method=method)
             for node in nodes
             for _ in range(count)
         ]
         return await asyncio.gather(*calls)
 
 
-async def learn(platform, nodes, path='/q/x'):
-    """Send requests until the leaving server has told a VM."""
-    arrivals = platform.servers[LEAVING].arrivals
-    while platform.servers[LEAVING].arrivals == arrivals:
-        await send_all(nodes[:1], 1, path)
+async def learn(platform, nodes):
+    """Let the leaving server tell a VM.
+
+    A VM that has one request at a time may stay with another server; of
+    several at a time, both servers get some.
+    """
+    await send_all(nodes[:1], AT_A_TIME)
     await asyncio.sleep(IN_FLIGHT_S)
+    assert platform.servers[LEAVING].arrivals
 
 
 @pytest.mark.parametrize(
@@ -136,14 +141,13 @@
             leaving = platform.servers['i-9']
             leaving.is_leaving = True
             leaving.mode = ServerMode.SHED
-            answers = []
-            while not leaving.arrivals or len(answers) < 20:
-                answers.append(
-                    await request_path(nodes[0], '/o/x', method='POST')
-                )
+            answers = await send_all(nodes, AT_A_TIME, '/o/x', 'POST')
+            arrivals = leaving.arrivals
+            assert arrivals
+            answers += await send_all(nodes, AT_A_TIME, '/o/x', 'POST')
             assert {answer.status_code for answer in answers} == {200}
-            assert leaving.arrivals == 1
-            # The order that the leaving server refused has run elsewhere.
+            assert leaving.arrivals == arrivals
+            # The orders that the leaving server refused have run elsewhere.
             assert len(list_runs(platform)) == len(answers)
 
     asyncio.run(scenario())
--- a/tests/test_quiet_servers.py
+++ b/tests/test_quiet_servers.py
@@ -29,15 +29,26 @@
 #: More of them than this, from one VM, break the rule.
 MOST_IN_FLIGHT = 2
 START = ('i-1', 7)
+#: Queries of one VM at a time that no replica gets all of.
+AT_A_TIME = 10
 
 
-async def send_queries(nodes, until_ms, gap_s, path='/q/x'):
-    """Send a request to each VM in turn; return the answers and times."""
+async def send_queries(nodes, until_ms, gap_s):
+    """Send queries to each VM, some at a time, then one after the other.
+
+    A VM that has one query at a time may stay with one replica.
+
+    :returns: the answers.
+    """
     async with httpx.AsyncClient(timeout=10, trust_env=False) as client:
-        calls = []
+        calls = [
+            asyncio.create_task(request_path(node, '/q/x', client))
+            for node in nodes
+            for _ in range(AT_A_TIME)
+        ]
         while now_ms() < until_ms:
             for node in nodes:
-                call = request_path(node, path, client)
+                call = request_path(node, '/q/x', client)
                 calls.append(asyncio.create_task(call))
                 await asyncio.sleep(gap_s)
         return await asyncio.gather(*calls)
