Servers of an evacuated data centre get nothing; cold ones get their rate

Cause: the order stands in the store, and nothing read it. Nor did anything read the rate that a service names for its cold servers.

Change: orders are a part of the catalog and spread as the rest of it does. A server in an evacuated data centre counts as draining, so it has no replica and every sender passes it over; attempts that wait go elsewhere. A cold server whose service names a rate is sent to with permits, as one that names a limit is; it is cold by its entry, after an evacuation, or if it accepts a connection after it accepted none. What brings servers into use moved from the platform's node to gateway/server_use.py.

Ruled out: a flag that each sender asks, and a low priority in the choice of a replica (docs/design/evacuation.md).

--- a/src/dandelionstage/catalog/catalog.py
+++ b/src/dandelionstage/catalog/catalog.py
@@ -1,4 +1,4 @@
-"""Newest routes and servers known to this VM.
+"""Newest routes, servers and orders of operators known to this VM.
 
 They come from the platform's store, a key-value store with numbered revisions.
 A few VMs read the store; the others get its entries from them.
@@ -9,6 +9,7 @@
 from dataclasses import dataclass, replace
 from typing import Final, final
 
+from .evacuations import EvacuationOrder, Evacuations
 from .positions import StoreRevision, era_of
 from .routes import RouteTable
 from .servers import ServerId, ServerRecord, ServerState
@@ -46,11 +47,13 @@
     :ivar routes: new version of the routes.
     :ivar server: server that was added or changed.
     :ivar removed_server: server that is no longer listed.
+    :ivar order: order to evacuate a data centre, or the end of one.
     """
 
     routes: RouteTable | None = None
     server: ServerRecord | None = None
     removed_server: ServerId | None = None
+    order: EvacuationOrder | None = None
 
 
 @final
@@ -67,7 +70,7 @@
 
 @final
 class Catalog:  # noqa: WPS214 -- many short methods on one table
-    """Table of routes and servers that keeps the newest revision of each item.
+    """Routes, servers and orders, with the newest revision of each item.
 
     Two sources may deliver the same items at different times, so an item is
     applied by its own revision, not by the order of arrival.
@@ -77,7 +80,10 @@
     server, unless :meth:`accept_older` says so.
 
     :ivar routes: version in force, ``None`` before the first one.
+    :ivar evacuations: data centres that are evacuated.
     :ivar as_of: store revision up to which the catalog is complete.
+    :ivar on_evacuation: callbacks for a data centre that is evacuated, or is
+        no longer.
     :ivar on_routes: callbacks for a new version of the routes.
     :ivar on_advanced: callbacks for a later ``as_of``.
     :ivar on_restored: callbacks for a later era of the store.
@@ -93,6 +99,8 @@
         """
         self.routes: RouteTable | None = None
         self.as_of = StoreRevision(0)
+        self.evacuations = Evacuations()
+        self.on_evacuation: list[Callable[[EvacuationOrder], None]] = []
         self.on_advanced: list[Callable[[StoreRevision], None]] = []
         self.on_restored: list[Callable[[StoreRevision], None]] = []
         self.on_routes: list[Callable[[RouteTable], None]] = []
@@ -338,6 +346,9 @@
     def _apply_change(self, change: Change) -> None:
         if change.routes is not None:
             self._use_routes(change.routes)
+        if change.order is not None and self.evacuations.apply(change.order):
+            for on_evacuation in self.on_evacuation:
+                on_evacuation(change.order)
         if change.server is not None:
             self._servers[change.server.server] = change.server
             for on_updated in self.on_server_updated:
--- a/src/dandelionstage/catalog/routes.py
+++ b/src/dandelionstage/catalog/routes.py
@@ -115,10 +115,15 @@
 
     :ivar max_connections: connections that each server accepts from all VMs
         together.
+    :ivar warm_up_ms: how long a server is cold after its start.
+    :ivar cold_per_s: requests a second that a cold server takes from all VMs
+        together, 0 if it names no rate.
     """
 
     service: ServiceId
     max_connections: int
+    warm_up_ms: float = 0
+    cold_per_s: float = 0
 
 
 @final
--- a/src/dandelionstage/gateway/run_context.py
+++ b/src/dandelionstage/gateway/run_context.py
@@ -13,7 +13,6 @@
 from ..placing.query_admission import QueryAdmission
 from ..placing.queue_delay import BaseTimes
 from ..placing.replicas import ConnectionPool, Replica, Replicas
-from ..placing.server_limits import ServerLimits
 from ..retries.answer_time_window import AnswerTimeWindow
 from .attempt import Attempt
 from .delivery_times import DeliveryTimes
@@ -34,6 +33,9 @@
 class Pool(ConnectionPool, Protocol):
     """Interface of the connection pool of one server."""
 
+    def warm_up(self, per_s: float, until_ms: float) -> None:
+        """Limit a cold server, also for the attempts that wait."""
+
     def submit(self, attempt: Attempt) -> None:
         """Send an attempt as soon as a connection is available."""
 
@@ -93,7 +95,6 @@
     :ivar now_ms: returns the monotonic time in milliseconds.
     :ivar call_later: schedules a call after a delay in milliseconds.
     :ivar random: random numbers for choices and delays.
-    :ivar limits: limits on requests that servers have named.
     :ivar deadly: requests under which servers ended.
     :ivar relays: VMs that query shards of large queries for this VM.
     """
@@ -111,7 +112,6 @@
     relays: Relays = field(default_factory=NoRelays)
     base_times: BaseTimes = field(default_factory=BaseTimes)
     admission: QueryAdmission = field(default_factory=QueryAdmission)
-    limits: ServerLimits = field(default_factory=ServerLimits)
     deadly: DeadlyRequests = field(default_factory=DeadlyRequests)
 
     def replica_of(self, server: ServerId) -> Replica[Pool] | None:
--- a/src/dandelionstage/gateway/run_helpers.py
+++ b/src/dandelionstage/gateway/run_helpers.py
@@ -110,7 +110,7 @@
         )
         attempt.deadline_ms = deadline_ms
         attempt.purpose = purpose
-        limit_per_s = self._context.limits.per_s(replica.record)
+        limit_per_s = replica.pool.limit.per_s
         if limit_per_s:
             self._log_limited(attempt, replica, limit_per_s)
         replica.throttle.record_sent(self._context.now_ms())
--- a/src/dandelionstage/gateway/server_pool.py
+++ b/src/dandelionstage/gateway/server_pool.py
@@ -39,11 +39,14 @@
     :ivar on_reply: called with each reply to an attempt, also if the attempt
         was abandoned, before the attempt ends.
     :ivar request_permits: called if an attempt waits for a permit.
+    :ivar on_returned: called when the server accepts a connection after it
+        accepted none, before anything is sent on it.
     """
 
     on_limit_exceeded: OnLimitExceeded | None = None
     on_reply: Callable[[Attempt, Reply], None] | None = None
     request_permits: 'Callable[[ServerPool], None] | None' = None
+    on_returned: Callable[[], None] | None = None
 
 
 @final
@@ -81,6 +84,7 @@
         self._opening: set[asyncio.Task[None]] = set()
         self._is_closed = False
         self._broken: list[Attempt] = []
+        self._accepts_none = False
 
     @property
     def load(self) -> int:
@@ -106,12 +110,10 @@
     def submit(self, attempt: Attempt) -> None:
         """Send an attempt as soon as it is permitted and a connection idle."""
         attempt.started_ms = now_ms()
-        if self.limit.per_s:
-            self.limit.record_demand(attempt.started_ms)
-            if not self.limit.take(attempt.started_ms):
-                self._wait_for_permit(attempt)
-                return
-        self._send_or_wait(attempt)
+        if self.limit.per_s and self._must_wait(attempt):
+            self._wait_for_permit(attempt)
+        else:
+            self._send_or_wait(attempt)
 
     def send_permitted(self) -> None:
         """Send the waiting attempts for which there are permits."""
@@ -134,6 +136,18 @@
         _end_all(self._unpermitted)
         _end_all(self._waiting)
 
+    def warm_up(self, per_s: float, until_ms: float) -> None:
+        """Limit a cold server, also for the attempts that wait.
+
+        :param per_s: requests a second that it takes, 0 if it needs no limit.
+        """
+        self.limit.warm_up(per_s, until_ms)
+        if self.limit.per_s:
+            waiting = tuple(self._waiting)
+            self._waiting.clear()
+            for attempt in waiting:
+                self._wait_for_permit(attempt)
+
     def abandon(self, attempt: Attempt) -> None:
         """Drop an attempt; one that was sent gets a short time to finish."""
         attempt.ended = True
@@ -160,6 +174,14 @@
         for connection in tuple(self._idle):
             connection.close()
 
+    def _must_wait(self, attempt: Attempt) -> bool:
+        """Whether an attempt at a limited server lacks a permit."""
+        self.limit.end_warm_up(attempt.started_ms)
+        if not self.limit.per_s:
+            return False
+        self.limit.record_demand(attempt.started_ms)
+        return not self.limit.take(attempt.started_ms)
+
     def _wait_for_permit(self, attempt: Attempt) -> None:
         self._unpermitted.append(attempt)
         if self._callbacks.request_permits is not None:
@@ -243,6 +265,7 @@
         except ConnectionRefusedError:
             reason = NoReply.SERVER_ENDED
             connection.close()
+            self._note_not_accepted()
         except OSError:
             connection.close()
         broken = tuple(self._broken)
@@ -258,8 +281,21 @@
                 )
         except OSError:
             connection.close()
+            self._note_not_accepted()
             self._fail_oldest_waiting(NoReply.CONNECT_FAILED)
 
+    def _note_not_accepted(self) -> None:
+        """Note that the server accepts no connection, if it has none."""
+        opening = ConnectionState.OPENING
+        if all(each.state is opening for each in self._connections):
+            self._accepts_none = True
+
+    def _note_accepted(self) -> None:
+        if self._accepts_none:
+            self._accepts_none = False
+            if self._callbacks.on_returned is not None:
+                self._callbacks.on_returned()
+
     def _fail_oldest_waiting(self, reason: NoReply) -> None:
         """Fail the attempt that has waited longest for a connection."""
         if self._waiting:
@@ -277,6 +313,7 @@
         elif self._is_closed:
             connection.close()
         else:
+            self._note_accepted()
             self._send_waiting(connection)
 
     def _send_waiting(self, connection: ServerConnection) -> None:
--- a/src/dandelionstage/placing/permit_issuer.py
+++ b/src/dandelionstage/placing/permit_issuer.py
@@ -10,13 +10,13 @@
 
 from ..catalog.servers import ServerStart
 
-__all__ = ('PERMIT_MS', 'Grant', 'PermitIssuer')
+__all__ = ('DEPTH_S', 'PERMIT_MS', 'Grant', 'PermitIssuer')
 
 #: Duration of a permit.  Those granted before a window may be used in it, so a
 #: server gets at most the permits of a window and of this time.
 PERMIT_MS: Final = 800.0
 #: Permits that were not granted are kept for this time.
-_DEPTH_S: Final = 0.5
+DEPTH_S: Final = 0.5
 #: Fraction of the permits at hand that one VM gets.
 _GRANTED_FRACTION: Final = 0.5
 #: Bounds of the time after which a refused VM may ask again.
@@ -54,12 +54,14 @@
         self._refused: float = 0
         self._updated_ms = now_ms
 
-    def grant(self, per_s: float, wanted: int, now_ms: float) -> Grant:
+    def grant(
+        self, per_s: float, wanted: int, now_ms: float, depth_s: float
+    ) -> Grant:
         passed_ms = max(0, now_ms - self._updated_ms)
         self._updated_ms = now_ms
         self._refused *= math.exp(-passed_ms / _REFUSED_MS)
         self._permits = min(
-            max(1, per_s * _DEPTH_S),
+            max(1, per_s * depth_s),
             self._permits + per_s * passed_ms / _MS_PER_S,
         )
         if self._permits >= 1:
@@ -87,12 +89,18 @@
         """Create an issuer that has granted nothing."""
         self._buckets: OrderedDict[ServerStart, _Bucket] = OrderedDict()
 
-    def grant(
-        self, start: ServerStart, per_s: float, wanted: int, now_ms: float
+    def grant(  # noqa: WPS211 -- the request, the clock and the terms
+        self,
+        start: ServerStart,
+        per_s: float,
+        wanted: int,
+        now_ms: float,
+        depth_s: float = DEPTH_S,
     ) -> Grant:
         """Grant permits to send to a server.
 
         :param per_s: this VM's part of the limit, above 0.
+        :param depth_s: how long permits that were not granted are kept.
         """
         bucket = self._buckets.get(start)
         if bucket is None:
@@ -100,4 +108,4 @@
             if len(self._buckets) > _MAX_SERVERS:
                 self._buckets.popitem(last=False)
         self._buckets.move_to_end(start)
-        return bucket.grant(per_s, max(1, wanted), now_ms)
+        return bucket.grant(per_s, max(1, wanted), now_ms, depth_s)
--- a/src/dandelionstage/placing/replicas.py
+++ b/src/dandelionstage/placing/replicas.py
@@ -113,6 +113,10 @@
         self.is_slow = not self.is_slow
         return self.is_slow
 
+    def warm_up(self, now_ms: float, left_ms: float) -> None:
+        """Take the server for cold for a time."""
+        self.cold_until_ms = now_ms + left_ms
+
     def reset_estimates(self) -> None:
         """Forget everything that was measured of the server."""
         self.slowness = Slowness()
@@ -198,8 +202,17 @@
         """Return the replica of a server, ``None`` if it is not usable."""
         return self._by_server.get(server)
 
-    def update(self, record: ServerRecord, now_ms: float) -> None:
-        """Add or update a server, or remove it if it accepts no new work."""
+    def update(
+        self,
+        record: ServerRecord,
+        now_ms: float,
+        least_warm_up_ms: float = 0,
+    ) -> None:
+        """Add or update a server, or remove it if it accepts no new work.
+
+        :param least_warm_up_ms: remaining warm-up time that is assumed if the
+            entry names less.
+        """
         known = self._by_server.get(record.server)
         if known is not None and _is_same_start(known.record, record):
             known.record = record
@@ -211,7 +224,7 @@
             return
         if known is None:
             known = self._add(record)
-        known.cold_until_ms = now_ms + record.warm_up_left_ms
+        known.warm_up(now_ms, max(least_warm_up_ms, record.warm_up_left_ms))
 
     def drop(self, server: ServerId) -> None:
         """Remove a server and retire its connections."""
--- a/src/dandelionstage/placing/send_limit.py
+++ b/src/dandelionstage/placing/send_limit.py
@@ -6,13 +6,17 @@
 Load pattern of the permits: a server names a rate of requests for all VMs
 together.  Each of many VMs sends only a few requests a second, often fewer than
 one, so fixed shares of the rate would be too small to send anything; permits go
-to the VMs that have requests.
+to the VMs that have requests.  A server that is cold has a limit of its own,
+which its service names and which ends when it has warmed up.
 """
 
 import math
 from collections import deque
 from typing import Final, final
 
+from .permit_issuer import PERMIT_MS
+from .warm_up import COLD_PERMIT_MS
+
 __all__ = ('SendLimit',)
 
 _INFINITE: Final = float('inf')
@@ -34,20 +38,28 @@
 
     :ivar per_s: requests a second that the server takes from all VMs
         together, 0 while it has no limit.
+    :ivar cold_per_s: the part of that which is due to its warm-up, 0 if it is
+        not cold.
     """
 
     __slots__ = (
+        '_cold_until_ms',
         '_demand',
         '_demand_ms',
+        '_named_per_s',
         '_permits',
         '_quiet_until_ms',
         '_refused_until_ms',
+        'cold_per_s',
         'per_s',
     )
 
     def __init__(self) -> None:
         """Create the state of a server without a limit."""
         self.per_s: float = 0
+        self.cold_per_s: float = 0
+        self._named_per_s: float = 0
+        self._cold_until_ms = -_INFINITE
         self._permits: deque[float] = deque()
         self._refused_until_ms = -_INFINITE
         self._quiet_until_ms = -_INFINITE
@@ -56,10 +68,40 @@
 
     def change(self, per_s: float) -> None:
         """Apply a changed limit; permits lose their meaning if it ends."""
-        self.per_s = per_s
-        self._refused_until_ms = -_INFINITE
-        if not per_s:
-            self._permits.clear()
+        if per_s != self._named_per_s:
+            self._named_per_s = per_s
+            self._apply()
+
+    def warm_up(self, per_s: float, until_ms: float) -> None:
+        """Limit the server while it is cold.
+
+        :param per_s: requests a second, 0 if it needs no limit.
+        """
+        self._cold_until_ms = until_ms
+        if per_s != self.cold_per_s:
+            self.cold_per_s = per_s
+            self._apply()
+
+    def end_warm_up(self, now_ms: float) -> None:
+        """Lift the limit of a cold server if it has warmed up."""
+        if self.cold_per_s and now_ms >= self._cold_until_ms:
+            self.cold_per_s = 0
+            self._apply()
+
+    def lowest_per_s(self, cold_per_s: float) -> float:
+        """Return the limit, 0 for none, if another VM takes it for cold.
+
+        The VMs do not learn at the same time that a server is cold, so it is
+        enough that one of them knows.
+
+        :param cold_per_s: what the other VM takes for the rate, 0 for none.
+        """
+        return min(filter(None, (self.per_s, cold_per_s)), default=0)
+
+    @property
+    def permit_ms(self) -> float:
+        """How long a permit lasts."""
+        return COLD_PERMIT_MS if self.cold_per_s else PERMIT_MS
 
     def take(self, now_ms: float) -> bool:
         """Use a permit; return whether there was one."""
@@ -115,6 +157,13 @@
         ahead = int(self._demand * _AHEAD_S)
         return min(_MAX_WANTED, max(1, waiting + ahead))
 
+    def _apply(self) -> None:
+        limits = filter(None, (self._named_per_s, self.cold_per_s))
+        self.per_s = min(limits, default=0)
+        self._refused_until_ms = -_INFINITE
+        if not self.per_s:
+            self._permits.clear()
+
     def _has_permit(self, now_ms: float) -> bool:
         self._drop_expired(now_ms)
         return bool(self._permits)
--- a/src/dandelionstage/placing/server_limits.py
+++ b/src/dandelionstage/placing/server_limits.py
@@ -112,6 +112,14 @@
         age_ms = max(0, int(now_ms - known.said_ms))
         return LimitReport(start[0], start[1], known.per_s, age_ms)
 
+    def report_or_none_named(
+        self, start: ServerStart, now_ms: float
+    ) -> LimitReport:
+        """Return what is known of a server, or a report that says nothing."""
+        return self.report(start, now_ms) or LimitReport(
+            start[0], start[1], 0, int(_EXPIRY_MS) + 1
+        )
+
     def choose_reports(
         self, now_ms: float, random: Random
     ) -> list[LimitReport]:
@@ -129,6 +137,8 @@
     ) -> None:
         """Record what another VM knows, as far as it is newer."""
         for report in reports:
+            if report.age_ms > _EXPIRY_MS:
+                continue
             start = (ServerId(report.server), report.started_ms)
             said_ms = now_ms - report.age_ms
             known = self._known.get(start)
--- a/src/dandelionstage/platform/config_bodies.py
+++ b/src/dandelionstage/platform/config_bodies.py
@@ -62,10 +62,15 @@
 
     :ivar max_connections: connections that each server accepts from all VMs
         together; 0 if unknown.
+    :ivar warmup_s: how long a server is cold after its start.
+    :ivar warmup_per_s: requests a second that a cold server takes; 0 if it
+        names no rate.
     """
 
     name: str
     max_connections: int = 0
+    warmup_s: float = 0
+    warmup_per_s: float = 0
 
 
 @final
--- a/src/dandelionstage/platform/entry_parser.py
+++ b/src/dandelionstage/platform/entry_parser.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from ..catalog.catalog import CatalogItem, Change
+from ..catalog.evacuations import DataCentreId, EvacuationOrder
 from ..catalog.routes import (
     CallerLimits,
     Gather,
@@ -25,7 +26,10 @@
 __all__ = ('EntryParser',)
 
 _MAX_FAULT_CHARS: Final = 200
+_MS_PER_S: Final = 1000.0
 _ROUTES_KEY: Final = 'op/config'
+#: The key names the data centre; its value says nothing.
+_EVACUATION_PREFIX: Final = 'op/evacuate/'
 _SERVER_STATES: Final = MappingProxyType(
     {'ready': ServerState.LIVE, 'draining': ServerState.DRAINING},
 )
@@ -74,6 +78,13 @@
         return Change(server=_parse_server(server, entry.raw))
     if entry.key == _ROUTES_KEY and entry.raw is not None:
         return Change(routes=_parse_routes(entry.raw))
+    if entry.key.startswith(_EVACUATION_PREFIX):
+        data_centre = DataCentreId(entry.key.removeprefix(_EVACUATION_PREFIX))
+        return Change(
+            order=EvacuationOrder(
+                data_centre, is_in_force=entry.raw is not None
+            )
+        )
     return Change()
 
 
@@ -100,7 +111,12 @@
 def _parse_routes(raw: bytes) -> RouteTable:
     config = msgspec.json.decode(raw, type=ConfigBody)
     services = [
-        Service(ServiceId(each.name), each.max_connections)
+        Service(
+            ServiceId(each.name),
+            each.max_connections,
+            warm_up_ms=each.warmup_s * _MS_PER_S,
+            cold_per_s=each.warmup_per_s,
+        )
         for each in config.services
     ]
     limits = config.limits
--- a/src/dandelionstage/platform/node.py
+++ b/src/dandelionstage/platform/node.py
@@ -18,6 +18,7 @@
 from ..gateway.request_schedule import LagEstimate, NetworkMargins
 from ..gateway.run_context import Pool, RouteResponseTimes, RunContext
 from ..gateway.server_pool import PoolCallbacks, ServerPool
+from ..gateway.server_use import ServerStatements, ServerUse
 from ..gateway.shutdown import Shutdown, ShutdownLimits
 from ..gateway.status_listener import StatusListener
 from ..lifecycle.resource_owner import ResourceOwner
@@ -81,6 +82,18 @@
             settings.zone, self._make_pool, random
         )
         self._quiet = QuietServers()
+        self._server_use = ServerUse(
+            self._sources.catalog,
+            self._replicas,
+            ServerStatements(
+                self._sources.spread.leaving,
+                self._sources.spread.limits,
+                self._quiet,
+            ),
+            settings.cold_tolerance,
+            log,
+            now_ms,
+        )
         self._announcement: asyncio.TimerHandle | None = None
         # One for each side, so that servers do not displace callers.
         self._reply_budget = ReadBudget(settings.unfinished_bytes)
@@ -116,7 +129,6 @@
             call_later=call_later,
             random=random,
             relays=self._relays,
-            limits=self._sources.spread.limits,
             deadly=self._sources.spread.deadly,
         )
         self._callers = CallerListener(
@@ -215,10 +227,7 @@
 
     def _register_callbacks(self) -> None:
         """Register the callbacks between the catalog, gossip and budgets."""
-        catalog = self._sources.catalog
-        catalog.on_server_updated.append(self._update_server)
-        catalog.on_server_removed.append(self._remove_server)
-        catalog.on_routes.append(self._log_routes)
+        self._sources.catalog.on_routes.append(self._log_routes)
         spread = self._sources.spread
         spread.list_slow_servers = lambda: list_slow_servers(
             self._replicas, now_ms()
@@ -233,6 +242,7 @@
 
     def _apply_settings(self, settings: BootSettings) -> None:
         self._budgets.apply_limits(settings.retry_budget_limits)
+        self._server_use.cold_tolerance = settings.cold_tolerance
         self._sources.apply_settings(settings)
 
     def _make_status_listeners(self) -> tuple[StatusListener, StatusListener]:
@@ -263,6 +273,7 @@
                 lambda exceeded: self._log_limit(record, exceeded),
                 partial(self._observe_reply, record),
                 self._sources.spread.permits.request,
+                lambda: self._server_use.limit_returned(record.server),
             ),
         )
 
@@ -368,8 +379,7 @@
         )
 
     def _connection_limit(self, record: ServerRecord) -> int:
-        routes = self._sources.catalog.routes
-        service = routes.services.get(record.service) if routes else None
+        service = self._server_use.service_of(record)
         accepted = service.max_connections if service else 0
         return max_connections_per_vm(
             accepted, len(self._sources.spread.members)
@@ -383,28 +393,6 @@
         settings = self._settings_file.settings
         return settings.relay_address(host_and_port(vm)[0])
 
-    def _update_server(self, published: ServerRecord) -> None:
-        record = self._sources.spread.leaving.applied_to(published)
-        self._log.event(
-            'server_listed',
-            server=record.server,
-            service=record.service,
-            data_centre=record.data_centre,
-            state=record.state.value,
-            warm_up_left_ms=record.warm_up_left_ms,
-        )
-        self._replicas.update(record, now_ms())
-        replica = self._replicas.replica(record.server)
-        per_s = self._sources.spread.limits.per_s(record)
-        if replica is not None:
-            replica.pool.limit.rest(self._quiet.until_ms(record.start))
-        if replica is not None and replica.pool.limit.per_s != per_s:
-            replica.pool.limit.change(per_s)
-
-    def _remove_server(self, server: ServerId) -> None:
-        self._log.event('server_gone', server=server)
-        self._replicas.drop(server)
-
     def _apply_slow_reports(self, reports: list[SlowServer]) -> None:
         for server, ratio in apply_slow_reports(
             self._replicas, reports, now_ms()
--- a/src/dandelionstage/platform/settings.py
+++ b/src/dandelionstage/platform/settings.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from ..placing.fleet_retry_budget import RetryBudgetLimits
+from ..placing.warm_up import ColdTolerance
 
 __all__ = ('BootSettings',)
 
@@ -48,6 +49,9 @@
     :ivar budget_window_s: time window of the retry budget.
     :ivar retry_budget_slack: further extra attempts allowed per window,
         whatever the number of requests.
+    :ivar warmup_overshoot: requests that a cold server bears in a second, as
+        a multiple of its rate.
+    :ivar warmup_slack: further requests that it bears in a second.
     """
 
     stability_window_ms: float
@@ -55,6 +59,8 @@
     retry_budget_ratio: float
     budget_window_s: float
     retry_budget_slack: float
+    warmup_overshoot: float = 1
+    warmup_slack: float = 0
 
 
 @final
@@ -73,7 +79,9 @@
 
 
 @final
-class BootSettings(msgspec.Struct, frozen=True, rename=_CAMEL):
+class BootSettings(  # noqa: WPS214 -- short properties
+    msgspec.Struct, frozen=True, rename=_CAMEL
+):
     """The fields of the settings file that the process uses.
 
     :ivar node_name: name of this VM.
@@ -108,6 +116,13 @@
             window_s=self.bounds.budget_window_s,
         )
 
+    @property
+    def cold_tolerance(self) -> ColdTolerance:
+        """By how much a cold server bears more than its rate."""
+        return ColdTolerance(
+            self.bounds.warmup_overshoot, self.bounds.warmup_slack
+        )
+
     @property
     def watch_ms(self) -> int:
         """Time in ms that a watch of the store waits for a change.
--- a/src/dandelionstage/platform/status_pages.py
+++ b/src/dandelionstage/platform/status_pages.py
@@ -60,6 +60,7 @@
             'requests_in_progress': self._callers.in_progress,
             'caller_connections': self._callers.connection_count,
             'servers_listed': len(catalog.servers),
+            'data_centres_evacuated': len(catalog.evacuations),
             'routes_version': catalog.routes.version if catalog.routes else 0,
             'store_revision': revision_of(catalog.as_of),
             'store_era': era_of(catalog.as_of),
--- a/src/dandelionstage/spread/permit_exchange.py
+++ b/src/dandelionstage/spread/permit_exchange.py
@@ -12,9 +12,10 @@
 from ..gateway.run_context import Timer
 from ..model.ids import VmId
 from ..operations.events import EventLog
-from ..placing.permit_issuer import PERMIT_MS, Grant, PermitIssuer
+from ..placing.permit_issuer import DEPTH_S, Grant, PermitIssuer
 from ..placing.send_limit import SendLimit
 from ..placing.server_limits import ServerLimits
+from ..placing.warm_up import COLD_DEPTH_S
 from ..routing.rendezvous import rank_vms
 from .members import Address, Members
 from .permit_messages import PermitReply, PermitRequest, decode, encode
@@ -172,12 +173,14 @@
     def _request(self, seeker: PermitSeeker, negotiation: _Negotiation) -> None:
         at_ms = self._context.now_ms()
         issuer = self._choose_issuer(seeker.record, negotiation, at_ms)
-        limit = self._limits.report(_start_of(seeker.record), at_ms)
-        if issuer is None or limit is None:
+        if issuer is None or not seeker.limit.per_s:
             self._refuse(seeker, negotiation, at_ms)
             return
         request = PermitRequest(
-            limit, seeker.limit.wanted(seeker.unpermitted_count), at_ms
+            self._limits.report_or_none_named(_start_of(seeker.record), at_ms),
+            seeker.limit.wanted(seeker.unpermitted_count),
+            at_ms,
+            seeker.limit.cold_per_s,
         )
         negotiation.asked_ms = at_ms
         negotiation.issuer = issuer
@@ -268,7 +271,8 @@
         if seeker is None or _start_of(seeker.record) != start:
             return
         if reply.count:
-            seeker.limit.add(reply.count, reply.asked_ms + PERMIT_MS)
+            until_ms = reply.asked_ms + seeker.limit.permit_ms
+            seeker.limit.add(reply.count, until_ms)
         seeker.send_permitted()
         if seeker.unpermitted_count:
             self._request(seeker, negotiation)
@@ -276,13 +280,15 @@
     def _reply_to(self, request: PermitRequest) -> PermitReply:
         at_ms = self._context.now_ms()
         start = (ServerId(request.limit.server), request.limit.started_ms)
-        grant = self._grant(start, request.wanted, at_ms)
+        grant = self._grant(start, request, at_ms)
         limit = self._limits.report(start, at_ms) or request.limit
         return PermitReply(
             limit, grant.permits, grant.retry_ms, request.asked_ms
         )
 
-    def _grant(self, start: ServerStart, wanted: int, at_ms: float) -> Grant:
+    def _grant(
+        self, start: ServerStart, request: PermitRequest, at_ms: float
+    ) -> Grant:
         """Grant this VM's part of a server's permits, if it is an issuer."""
         hold_off_ms = self._started_ms + _HOLD_OFF_MS - at_ms
         if hold_off_ms > 0:
@@ -290,11 +296,18 @@
         seeker = self.find_seeker(start[0])
         if seeker is None or _start_of(seeker.record) != start:
             return Grant(0, _UNKNOWN_RETRY_MS)
+        per_s = seeker.limit.lowest_per_s(request.cold_per_s)
         issuers = self.issuers_of(seeker.record)
-        if self._own not in issuers or not seeker.limit.per_s:
+        if self._own not in issuers or not per_s:
             return Grant(0, _UNKNOWN_RETRY_MS)
-        per_s = seeker.limit.per_s / len(issuers)
-        return self._issuer.grant(start, per_s, wanted, at_ms)
+        is_cold = request.cold_per_s or seeker.limit.cold_per_s
+        return self._issuer.grant(
+            start,
+            per_s / len(issuers),
+            request.wanted,
+            at_ms,
+            COLD_DEPTH_S if is_cold else DEPTH_S,
+        )
 
 
 def _start_of(record: ServerRecord) -> ServerStart:
--- a/src/dandelionstage/spread/permit_messages.py
+++ b/src/dandelionstage/spread/permit_messages.py
@@ -28,11 +28,14 @@
 
     :ivar limit: what the sender knows of the server's limit.
     :ivar asked_ms: time by the sender's clock; identifies the request.
+    :ivar cold_per_s: rate that the server takes while it is cold, 0 if the
+        sender does not take it for cold.
     """
 
     limit: LimitReport
     wanted: int
     asked_ms: float
+    cold_per_s: float = 0
 
 
 @final
@@ -64,7 +67,9 @@
     message = _decode(datagram[len(PREFIX) :])
     check_report(message.limit)
     if isinstance(message, PermitRequest):
-        is_valid = 0 < message.wanted <= _MAX_PERMITS
+        is_valid = 0 < message.wanted <= _MAX_PERMITS and (
+            0 <= message.cold_per_s < math.inf
+        )
     else:
         is_valid = 0 <= message.count <= _MAX_PERMITS and message.retry_ms >= 0
     if not is_valid:
--- a/tests/test_platform_nodes.py
+++ b/tests/test_platform_nodes.py
@@ -60,12 +60,13 @@
 
 
 @asynccontextmanager
-async def running(tmp_path, seed, vms=1, replicas=2):
+async def running(tmp_path, seed, vms=1, replicas=2, zones=('a',)):
     async with Platform(seed, tmp_path) as platform:
         platform.plan_hosts(vms)
         for service in (*SHARDS, 'orders'):
-            for _ in range(replicas):
-                await platform.add_server(service)
+            for number in range(replicas):
+                zone = zones[number % len(zones)]
+                await platform.add_server(service, zone)
         platform.publish(3, [QUERY, ORDER])
         nodes = [await platform.start_node(each) for each in range(vms)]
         await platform.until(lambda: all(map(is_usable, nodes)))
--- a/tools/overload/servers.py
+++ b/tools/overload/servers.py
@@ -123,7 +123,7 @@
 
 
 @final
-class SimulatedPool:
+class SimulatedPool:  # noqa: WPS214 -- the methods of a pool
     """Connections of one VM to one server."""
 
     def __init__(
@@ -165,6 +165,10 @@
     def retire(self) -> None:
         """Do nothing: servers stay."""
 
+    def warm_up(self, per_s: float, until_ms: float) -> None:
+        """Limit the server while it is cold."""
+        self.limit.warm_up(per_s, until_ms)
+
     def _close(self, attempt: Attempt, job: Job) -> None:
         if self._jobs.pop(id(attempt), None) is not None:
             self._server.drop(job)
--- a/tools/standins/platform/place.py
+++ b/tools/standins/platform/place.py
@@ -56,6 +56,8 @@
             'retryBudgetRatio': 0.2,
             'budgetWindowS': 10,
             'retryBudgetSlack': 108,
+            'warmupOvershoot': 1.5,
+            'warmupSlack': 5,
         },
         'platform': {'address': store},
     }
@@ -77,6 +79,7 @@
         )
         self._folder = folder
         self._hosts: list[str] = []
+        self._routes: Sequence[Mapping[str, Any]] = ()
         self._stack = AsyncExitStack()
         store_host = '{0}.250'.format(self._network)
         self.store_address = '{0}:{1}'.format(store_host, _STORE_PORT)
@@ -98,23 +101,36 @@
         return server
 
     def publish(
-        self, version: int, routes: Sequence[Mapping[str, Any]]
+        self,
+        version: int,
+        routes: Sequence[Mapping[str, Any]],
+        **of_services: float,
     ) -> None:
-        """Write a configuration with a service for each name used."""
+        """Write a configuration with a service for each name used.
+
+        :param of_services: further fields of every service.
+        """
         named = {name for route in routes for name in _services(route)}
+        self._routes = routes
         self.store.put(
             'op/config',
             {
                 'version': version,
                 'routes': [dict(route) for route in routes],
                 'services': [
-                    {'name': name, 'maxConnections': 50}
+                    {'name': name, 'maxConnections': 50, **of_services}
                     for name in sorted(named)
                 ],
                 'limits': {'idleTimeoutMs': 15000, 'headerTimeoutMs': 1000},
             },
         )
 
+    def publish_warm_up(
+        self, version: int, warm_up_s: float, per_s: float
+    ) -> None:
+        """Write the routes again, and how servers warm up."""
+        self.publish(version, self._routes, warmupS=warm_up_s, warmupPerS=per_s)
+
     def plan_hosts(self, count: int) -> list[str]:
         """Choose the addresses of the VMs before any is started."""
         self._hosts = [
