A reply whose status is none is no answer (MIXED)

What callers saw: a server that answered 000, 001 or 099 left the request hanging until its deadline, as the reply was read as an interim one; 600 and 999 were passed on as they came.

Cause: the reader took any status below 200 for interim and any other for final. The class: a value from outside that is compared, not checked.

Change: a status outside 100 to 599 breaks the stream. The store's replies pass the same reader.

--- a/src/dandelionstage/gateway/reply_reader.py
+++ b/src/dandelionstage/gateway/reply_reader.py
@@ -22,6 +22,7 @@
 _FRAMING_HEADERS: Final = frozenset((b'content-length', b'transfer-encoding'))
 _OLD_VERSION: Final = '1.0'
 _BODILESS_STATUSES: Final = frozenset((204, 304))
+_STATUSES: Final = range(100, 600)  # noqa: WPS432 -- status
 _FIRST_FINAL_STATUS: Final = 200
 _DECIMAL: Final = re.compile(rb'\d{1,9}(\.\d{0,40})?|\.\d{1,40}')
 _TIMEOUT_SECONDS: Final = re.compile(rb'\d{1,9}')
@@ -98,7 +99,8 @@
     arrived: otherwise the server may have ended within its head, or the head
     may have lost the header that says how long the body is.
 
-    A head that contains the status line of another reply breaks the stream.
+    A head that contains the status line of another reply, or a status that
+    HTTP does not have, breaks the stream.
 
     The reader reports every reply; the callback must ignore those whose id
     belongs to no pending request.  A reply that exceeds a limit breaks the
@@ -204,7 +206,7 @@
     def on_headers_complete(self) -> None:
         """Determine how the reply ends (called by the parser)."""
         self._has_head = True
-        self._check_not_joined(self._reason)
+        self._check_status_line()
         if self._parser.get_status_code() < _FIRST_FINAL_STATUS:
             self._interim_count += 1
             if self._interim_count > _MAX_INTERIM_REPLIES:
@@ -267,6 +269,13 @@
             ),
         )
 
+    def _check_status_line(self) -> None:
+        """Break the stream if the status line is not that of one reply."""
+        if self._parser.get_status_code() not in _STATUSES:
+            self.stream = StreamState.BROKEN
+            raise _StopParser
+        self._check_not_joined(self._reason)
+
     def _check_not_joined(self, content: bytes) -> None:
         """Break the stream if a part of the head holds a status line."""
         # Most parts fail the test that needs no regular expression.
--- a/tools/standins/platform/server.py
+++ b/tools/standins/platform/server.py
@@ -39,6 +39,8 @@
     STRAY = 'stray'
     #: Fails a part of what it runs, and sends the start of second answers.
     STUTTER = 'stutter'
+    #: Runs, then answers with a status that HTTP does not have.
+    NO_STATUS = 'no_status'
 
 
 @final
@@ -179,6 +181,8 @@
             return self._failed(
                 HTTPStatus.INTERNAL_SERVER_ERROR, request, stamp
             )
+        if self.mode is ServerMode.NO_STATUS:
+            return self._succeeded(request, stamp).replace(b'200', b'000', 1)
         if self.mode is not ServerMode.STUTTER:
             return self._succeeded(request, stamp)
         is_failed = len(self.runs) % _RUNS_PER_FAILURE == 0
