What requests take is counted from their first byte to their answer

What callers saw: 250 connections with heads of 16 KB, made of lines of four bytes, took a process to 149 MB (64 allowed in the test); a VM has 152 MB, so a few hundred ended it, and its callers with it. A single such request was refused with 431 although it is inside the limits.

Cause: bodies alone were counted. A header takes some 200 bytes besides its name and value. The size of a head was computed with four bytes of framing a line, where three are enough. The class: what arrived was counted in place of what is held.

Change: heads count too, until the answer is sent; above a tenth of the VM's memory the request that takes most is refused if it has not been read whole, else its connection is closed, as it may have run. Callers get half of the sockets; beyond that the connection that has waited longest for its caller is closed. Nothing more is read from a caller that does not read its answers.

Ruled out: a limit on the number of lines, as a single request inside the published limits must be served.

--- a/src/dandelionstage/gateway/caller_connection.py
+++ b/src/dandelionstage/gateway/caller_connection.py
@@ -10,7 +10,7 @@
 from ..catalog.routes import CallerLimits
 from .clock import now_ms
 from .delivery_times import DeliveryTimes, round_trip_ms
-from .read_limits import ReadBudget
+from .read_limits import LimitExceeded, ReadBudget
 from .reply_reader import HeaderNames
 from .request_reader import ReadStage, RequestFault, RequestReader
 from .requests import Answer, CallerRequest, error_answer
@@ -104,7 +104,10 @@
         self._context = context
         self._on_closed = on_closed
         self._transport: asyncio.Transport | None = None
-        self._reader = RequestReader(context.header_names, context.budget)
+        self._reader = RequestReader(
+            context.header_names, context.budget, self._drop
+        )
+        self._is_unread = False
         self._request: CallerRequest | None = None
         self._served_count = 0
 
@@ -127,6 +130,18 @@
         elif self._reader.expects_continue and self._transport is not None:
             self._transport.write(_CONTINUE)
 
+    def pause_writing(self) -> None:
+        """Read nothing more from a caller that does not read its answers."""
+        self._is_unread = True
+        if self._transport is not None:
+            self._transport.pause_reading()
+
+    def resume_writing(self) -> None:
+        """Read on, as the caller has read its answers."""
+        self._is_unread = False
+        if self._transport is not None and not self._transport.is_closing():
+            self._transport.resume_reading()
+
     def connection_lost(self, exc: Exception | None) -> None:
         """Notify the request in progress that the caller disconnected."""
         self._enter(ConnectionPhase.CLOSED)
@@ -175,6 +190,8 @@
                         'request too slow',
                     )
                 )
+        elif waited_ms > limits.idle_timeout_ms and self._is_unread:
+            self.abort()
         elif waited_ms > limits.idle_timeout_ms:
             self.close_if_idle()
 
@@ -183,6 +200,17 @@
         if self._transport is not None:
             self._transport.abort()
 
+    def _drop(self, exceeded: LimitExceeded) -> None:
+        """Give up a request, as all requests together take too much memory.
+
+        One that may have run is not refused: the close promises nothing.
+        """
+        if self.phase is ConnectionPhase.SERVING:
+            self.abort()
+        else:
+            reason = exceeded.limit.value
+            self._refuse(RequestFault(HTTPStatus.SERVICE_UNAVAILABLE, reason))
+
     def _read(self, received: bytes) -> RequestFault | None:
         reader = self._reader
         fault = reader.feed(received)
--- a/src/dandelionstage/gateway/caller_listener.py
+++ b/src/dandelionstage/gateway/caller_listener.py
@@ -25,6 +25,8 @@
 _SWEEP_INTERVAL_S: Final = 0.25
 #: A gap between sweeps that exceeds this means that the process was paused.
 _PAUSE_THRESHOLD_MS: Final = 750.0
+#: Connections of a VM with few descriptors.
+_MAX_CONNECTIONS: Final = 667
 #: Connections that the kernel queues until the process accepts them.
 _BACKLOG: Final = 512
 
@@ -49,10 +51,12 @@
         delivery_times: DeliveryTimes,
         budget: ReadBudget | None = None,
         must_close: Callable[[], bool] = bool,
+        max_connections: int = _MAX_CONNECTIONS,
     ) -> None:
         """Create a listener; it starts listening when it is entered.
 
         :param budget: bounds the requests of all connections together.
+        :param max_connections: number of connections that are open at a time.
         :param must_close: whether to close connections after their next
             answer, so that callers connect to another VM.
         """
@@ -69,6 +73,7 @@
             must_close,
         )
         self._connections: set[CallerConnection] = set()
+        self._max_connections = max_connections
         self._server: asyncio.Server | None = None
         self._closes_after_answer = False
 
@@ -126,7 +131,24 @@
         for connection in tuple(self._connections):
             connection.abort()
 
+    def _make_room(self) -> None:
+        """Close the connection that has waited longest for its caller.
+
+        An ordinary caller sends a request at once, or soon after its last one.
+        """
+        waiting = [
+            connection
+            for connection in self._connections
+            if connection.phase is not ConnectionPhase.SERVING
+        ]
+        longest = min(waiting, key=lambda each: each.since_ms, default=None)
+        if longest is not None:
+            self._connections.discard(longest)
+            longest.abort()
+
     def _accept(self) -> CallerConnection:
+        if len(self._connections) >= self._max_connections:
+            self._make_room()
         connection = CallerConnection(self._context, self._connections.discard)
         connection.is_last = self._closes_after_answer
         self._connections.add(connection)
--- a/src/dandelionstage/gateway/read_limits.py
+++ b/src/dandelionstage/gateway/read_limits.py
@@ -12,6 +12,7 @@
 from typing import Final, Protocol, final
 
 __all__ = (
+    'HEADER_OVERHEAD_BYTES',
     'LimitExceeded',
     'OnLimitExceeded',
     'ReadBudget',
@@ -22,6 +23,9 @@
 #: Messages below this size are not counted, which saves time on the usual
 #: small ones.  Thousands of connections may each hold this much.
 UNCOUNTED_BYTES: Final = 16_384
+#: Memory that a header takes besides its name and value; short ones take many
+#: times as much as arrived.
+HEADER_OVERHEAD_BYTES: Final = 200
 #: Bytes of all unfinished messages that a VM with little memory holds.
 _DEFAULT_TOTAL_BYTES: Final = 8_388_608
 
--- a/src/dandelionstage/gateway/request_reader.py
+++ b/src/dandelionstage/gateway/request_reader.py
@@ -1,5 +1,6 @@
 """Incremental parser of the HTTP requests on a connection from a caller."""
 
+from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum, unique
 from http import HTTPStatus
@@ -8,15 +9,20 @@
 import httptools
 
 from ..catalog.routes import CallerLimits
-from .read_limits import UNCOUNTED_BYTES, LimitExceeded, ReadBudget
+from .read_limits import (
+    HEADER_OVERHEAD_BYTES,
+    UNCOUNTED_BYTES,
+    LimitExceeded,
+    ReadBudget,
+)
 from .reply_reader import HeaderNames
 from .requests import CallerRequest, Headers
 
 __all__ = ('ReadStage', 'RequestFault', 'RequestReader')
 
 _UNLIMITED_MS: Final = float('inf')
-#: Colon, space and line end of a header line.
-_HEADER_FRAME_BYTES: Final = 4
+#: Colon and line end of a header line.
+_HEADER_FRAME_BYTES: Final = 3
 #: Chunk sizes and extensions may take this many times as much as the body, on
 #: top of the limit for the head.
 _MAX_FRAMING_RATIO: Final = 8
@@ -48,9 +54,9 @@
 class RequestReader:  # noqa: WPS214 -- callbacks of the parser
     """Assembles a request from the events of the parser.
 
-    The reader holds one request until :meth:`start_next` is called.  The
-    content of a pipelined request that arrives before that is discarded and
-    only noted in ``has_pipelined``.
+    The reader holds one request until :meth:`start_next` is called, and counts
+    the memory that it takes until then.  The content of a pipelined request
+    that arrives before that is discarded and only noted in ``has_pipelined``.
 
     :ivar stage: how much of the current request was read.
     :ivar has_pipelined: whether the start of another request was seen while
@@ -58,13 +64,18 @@
     """
 
     def __init__(
-        self, header_names: HeaderNames, budget: ReadBudget | None = None
+        self,
+        header_names: HeaderNames,
+        budget: ReadBudget | None = None,
+        on_dropped: Callable[[LimitExceeded], None] | None = None,
     ) -> None:
         """Create a reader for a new connection.
 
         :param budget: bounds the requests of all connections together.
+        :param on_dropped: called if the budget drops the request.
         """
         self.has_pipelined = False
+        self._on_dropped = on_dropped
         self._budget = budget or ReadBudget()
         self._exceeded: LimitExceeded | None = None
         self._header_names = header_names
@@ -79,18 +90,22 @@
         self._body: list[bytes] = []
         self._head_bytes = 0
         self._body_bytes = 0
+        self._held_bytes = 0
         self._frame_bytes = 0
         self._budget.release(self)
 
     def close(self) -> None:
         """Discard the request that is being read."""
         self._budget.release(self)
+        self._headers = []
         self._body = []
 
     def drop(self, exceeded: LimitExceeded) -> None:
         """Refuse the request, as all requests together are too large."""
         self._exceeded = exceeded
         self.close()
+        if self._on_dropped is not None:
+            self._on_dropped(exceeded)
 
     @property
     def keeps_alive(self) -> bool:
@@ -118,6 +133,8 @@
             )
         except httptools.HttpParserError as error:
             return RequestFault(HTTPStatus.BAD_REQUEST, str(error))
+        if self._held_bytes > UNCOUNTED_BYTES and self._exceeded is None:
+            self._budget.hold(self, self._held_bytes)
         return None
 
     def check_size(self, limits: CallerLimits) -> RequestFault | None:
@@ -189,11 +206,13 @@
         """Store a chunk of the target (called by the parser)."""
         if self.stage is not ReadStage.COMPLETE:
             self._target.append(chunk)
+            self._held_bytes += len(chunk) + HEADER_OVERHEAD_BYTES
 
     def on_header(self, name: bytes, content: bytes) -> None:
         """Store a header (called by the parser)."""
         if self.stage is not ReadStage.COMPLETE:
             self._headers.append((name.lower(), content))
+            self._held_bytes += len(name) + len(content) + HEADER_OVERHEAD_BYTES
 
     def on_headers_complete(self) -> None:
         """Set the size of the head, excluding body bytes received with it."""
@@ -211,8 +230,7 @@
             self._frame_bytes -= len(chunk)
             self._body_bytes += len(chunk)
             self._body.append(chunk)
-            if self._body_bytes > UNCOUNTED_BYTES:
-                self._budget.hold(self, self._body_bytes)
+            self._held_bytes += len(chunk)
 
     def on_message_complete(self) -> None:
         """Mark the request as complete (called by the parser)."""
--- a/src/dandelionstage/platform/node.py
+++ b/src/dandelionstage/platform/node.py
@@ -97,7 +97,7 @@
         self._announcement: asyncio.TimerHandle | None = None
         # One for each side, so that servers do not displace callers.
         self._reply_budget = ReadBudget(settings.unfinished_bytes)
-        self._request_budget = ReadBudget(settings.unfinished_bytes)
+        self._request_budget = ReadBudget(settings.request_bytes)
         relay_budget = ReadBudget(settings.unfinished_bytes)
         self._isolation = IsolationCheck(
             StoreClient(*host_and_port(settings.platform.address)),
@@ -144,6 +144,7 @@
             tools.delivery_times,
             self._request_budget,
             self._sends_callers_elsewhere,
+            settings.caller_connections,
         )
         self._callers.on_pause = self._log_pause
         grace_ms = settings.bounds.grace_s * _MS_PER_S
--- a/src/dandelionstage/platform/settings.py
+++ b/src/dandelionstage/platform/settings.py
@@ -18,6 +18,14 @@
 _MS_PER_S: Final = 1000.0
 #: Memory of the smallest VM, assumed if the settings do not state it.
 _DEFAULT_MEMORY_MB: Final = 150.0
+#: Descriptors of the smallest VM, and those reserved for files.
+_DEFAULT_MAX_FDS: Final = 1535
+_FILE_FDS: Final = 200
+#: Fraction of the sockets that callers may have; the others are for servers and
+#: other VMs.
+_CALLERS_SOCKETS_FRACTION: Final = 0.5
+#: Fraction of the memory that the requests of callers may take.
+_REQUESTS_FRACTION: Final = 0.1
 #: Fraction of the memory that unfinished messages may take.
 _UNFINISHED_FRACTION: Final = 0.05
 _BYTES_PER_MB: Final = 1_000_000
@@ -68,9 +76,11 @@
     """Resources of the VM.
 
     :ivar memory_mb: the process is killed if it takes more memory.
+    :ivar max_fds: descriptors that it may have open.
     """
 
     memory_mb: float = _DEFAULT_MEMORY_MB
+    max_fds: int = _DEFAULT_MAX_FDS
 
 
 @final
@@ -153,6 +163,17 @@
         """Bytes of messages being received that the process may hold."""
         return int(self.limits.memory_mb * _BYTES_PER_MB * _UNFINISHED_FRACTION)
 
+    @property
+    def request_bytes(self) -> int:
+        """Memory that the process may hold for the requests of callers."""
+        return int(self.limits.memory_mb * _BYTES_PER_MB * _REQUESTS_FRACTION)
+
+    @property
+    def caller_connections(self) -> int:
+        """Number of connections that callers may have open."""
+        sockets = max(0, self.limits.max_fds - _FILE_FDS)
+        return max(1, int(sockets * _CALLERS_SOCKETS_FRACTION))
+
     @property
     def entry_expiry_ms(self) -> float:
         """Time after which the entry of a server that is gone is removed."""
--- a/tools/soak/vms.py
+++ b/tools/soak/vms.py
@@ -65,6 +65,12 @@
         """The newest process."""
         return self.lives[-1]
 
+    @property
+    def pid(self) -> int:
+        """Number of the process that runs now."""
+        assert self._process is not None  # noqa: S101 -- entered
+        return self._process.pid
+
     async def start(self) -> None:
         """Start a process."""
         log = self._settings.with_suffix('.log')
--- a/tools/standins/platform/http_port.py
+++ b/tools/standins/platform/http_port.py
@@ -116,7 +116,7 @@
 
     def on_header(self, name: bytes, content: bytes) -> None:
         """Keep a header (called by the parser)."""
-        self._asked.headers[name.decode().lower()] = content.decode()
+        self._asked.headers[name.decode().lower()] = content.decode('latin-1')
 
     def on_body(self, piece: bytes) -> None:
         """Keep a piece of the body (called by the parser)."""
