The choice of a server goes by the pace that its answers show

What callers saw: nothing wrong, but a request went to another data centre because the last answer of the server at hand was long, as one in twenty is.

Cause: the estimate moved by 0.4 to 0.6 of each answer's deviation, though requests differ in work by more than servers do in speed; and one below the usual did not age, so a server that had answered fast once drew requests from everywhere.

Change: each replica has a pace (placing/server_pace.py), learned from the logarithms of its answers' times with a weight of a tenth, and a slow-down by the requests at work there. The choice goes by the expected time; the reaction to the last answers counts beyond their usual spread.

--- a/src/dandelionstage/gateway/attempt.py
+++ b/src/dandelionstage/gateway/attempt.py
@@ -98,6 +98,8 @@
     monotonic clock.
 
     :ivar purpose: reason for which it is made.
+    :ivar at_work: requests of this VM at the server, this one included, when it
+        was submitted.
     :ivar deadline_ms: time at which the server must stop working on it.
     :ivar started_ms: time at which it was submitted.
     :ivar sent_ms: time at which it was sent, ``None`` before that.
@@ -105,6 +107,7 @@
     """
 
     __slots__ = (
+        'at_work',
         'build_request',
         'deadline_ms',
         'ended',
@@ -134,6 +137,7 @@
         self.build_request = build_request
         self.on_end = on_end
         self.purpose = AttemptPurpose.FIRST
+        self.at_work = 1
         self.deadline_ms: float = 0
         self.started_ms: float = 0
         self.sent_ms: float | None = None
--- a/src/dandelionstage/placing/replicas.py
+++ b/src/dandelionstage/placing/replicas.py
@@ -8,15 +8,19 @@
 from ..catalog.servers import ServerId, ServerRecord, ServerState
 from .queue_delay import QueueDelay
 from .send_limit import SendLimit
+from .server_pace import ServerPace
 from .slowness import Slowness
 from .throttle import Throttle
 
 __all__ = ('ConnectionPool', 'Replica', 'Replicas')
 
 #: Cost factor for a server in another data centre: latency is higher, and
-#: traffic between data centres costs money.  An idle remote server is still
-#: preferred to a local one that already handles a request of this VM.
-_REMOTE_FACTOR: Final = 1.4
+#: traffic between data centres costs money.  It is used where a local one is
+#: expected to take so many times as long.
+_REMOTE_FACTOR: Final = 1.6
+#: A single answer takes this much longer than usual without a cause at the
+#: server, as requests differ in work.
+_USUAL_SPREAD: Final = 1.3
 #: A server is logged as slow when its slowness ratio reaches the first value,
 #: and as no longer slow when the ratio falls below the second one.
 _SLOW_RATIO: Final = 4.0
@@ -65,7 +69,8 @@
     :ivar is_remote: whether the server is in another data centre.
     :ivar is_slow: whether the server was last logged as slow.  Used for the
         log only; :meth:`cost` uses the estimate itself.
-    :ivar slowness: estimate of how much slower than usual the server is.
+    :ivar slowness: estimate of how much slower than usual the next answer is.
+    :ivar pace: how fast the server works, and how much it takes.
     :ivar throttle: counts of requests sent and answered.
     :ivar queue: estimate of how long a request waits before it runs.
     :ivar cold_until_ms: end of the server's warm-up by this VM's clock.
@@ -75,6 +80,7 @@
         'cold_until_ms',
         'is_remote',
         'is_slow',
+        'pace',
         'pool',
         'queue',
         'record',
@@ -89,6 +95,7 @@
         self.is_remote = is_remote
         self.is_slow = False
         self.slowness = Slowness()
+        self.pace = ServerPace(record.slots)
         self.throttle = Throttle()
         self.queue = QueueDelay()
         self.cold_until_ms: float = 0
@@ -120,6 +127,7 @@
     def reset_estimates(self) -> None:
         """Forget everything that was measured of the server."""
         self.slowness = Slowness()
+        self.pace = ServerPace(self.record.slots)
         self.throttle = Throttle()
         self.queue = QueueDelay()
 
@@ -128,7 +136,9 @@
 
         :returns: infinity if the server does not permit one.
         """
-        cost = (self.pool.load + 1) * self.slowness.ratio(now_ms)
+        cost = self.pace.expected(self.pool.load + 1, now_ms)
+        if not self.slowness.is_usual:
+            cost *= max(1, self.slowness.ratio(now_ms) / _USUAL_SPREAD)
         if self.is_remote:
             cost *= _REMOTE_FACTOR
         if not self.pool.has_idle_connection:
