Relays send only the records that an answer of all their parts needs

A relay sent up to topK records of each of its 15 parts, of which an answer has topK in all. Now the parts of a report hold only those that can be in an answer of them together. The VM that asked takes such a report whole and answers only afterwards; otherwise the first part of a late report could make an answer that names it and lacks its records (found by a test of this change, tests/test_shared_queries.py). It says in its request that it does so, as VMs of the version before do not.

--- a/src/dandelionstage/gateway/gather_run.py
+++ b/src/dandelionstage/gateway/gather_run.py
@@ -153,10 +153,19 @@
                 tried, is_all=is_all
             ),
             self._shards.record_relayed_ends,
+            self._apply_together,
         )
         self._relayed.append((relay, query))
         relay.send_query(query)
 
+    def _apply_together(self, end_attempts: Callable[[], None]) -> None:
+        """Take the parts of a report; answer only when all are taken."""
+        was_sending = self._is_sending
+        self._is_sending = True
+        end_attempts()
+        self._is_sending = was_sending
+        self._answer_if_ready()
+
     def _hedge(self) -> None:
         self._shards.hedge()
         self._timer.call_at(self._schedule.answer_ms, self._reach_target)
--- a/src/dandelionstage/relaying/messages.py
+++ b/src/dandelionstage/relaying/messages.py
@@ -40,6 +40,7 @@
     :ivar least_coverage: fraction of the shards that the route requires.
     :ivar answer_left_ms: time left until the target time for the answer.
     :ivar left_ms: time left until the caller's deadline.
+    :ivar takes_merged: whether the sender uses all parts of a report together.
     """
 
     number: int
@@ -56,6 +57,7 @@
     least_coverage: float
     answer_left_ms: float
     left_ms: float
+    takes_merged: bool = False
 
 
 @final
@@ -78,7 +80,8 @@
     """Answer of one shard.
 
     :ivar stamp: signature of the server that answered.
-    :ivar records: the shard's greatest records, concatenated.
+    :ivar records: the shard's greatest records, concatenated; of merged parts
+        only those that an answer of all of them may contain.
     """
 
     shard: str
@@ -95,6 +98,7 @@
     :ivar is_closed: whether the relay sends to no further servers.
     :ivar is_last: whether this is the last report on the query.
     :ivar ended: shards whose servers ended while they had the request.
+    :ivar is_merged: whether the parts may only be used together.
     """
 
     number: int
@@ -103,6 +107,7 @@
     is_closed: bool
     is_last: bool
     ended: Sequence[str] = ()
+    is_merged: bool = False
 
 
 @final
--- a/src/dandelionstage/relaying/relay_run.py
+++ b/src/dandelionstage/relaying/relay_run.py
@@ -1,14 +1,15 @@
 """Execution of a relayed query for another VM."""
 
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from typing import Final, final
 
 from ..catalog.routes import Gather, RepeatPolicy, Route, ServiceId
+from ..gateway.attempt import Reply
 from ..gateway.request_schedule import RequestSchedule, slow_threshold_ms
-from ..gateway.records import greatest_records
+from ..gateway.records import greatest_records, records_in_common_answer
 from ..gateway.requests import CallerRequest
 from ..gateway.run_helpers import SingleTimer
-from ..gateway.shard_attempts import ShardAttempts, QueryAttempts
+from ..gateway.shard_attempts import QueryAttempts
 from ..gateway.run_context import RunContext
 from ..placing.server_ends import RequestDigest
 from .messages import Part, PartsReport, RelayRequest
@@ -29,6 +30,9 @@
     servers were tried and continues itself, so both VMs together stay within
     the route's limit on attempts.
 
+    Until a report has said so, the other VM uses the parts of a report all
+    together, so they contain only the records that an answer of them needs.
+
     :ivar is_over: whether the last report was sent or the run was cancelled.
     """
 
@@ -64,6 +68,7 @@
             self._handle_change,
         )
         self._reported: set[ServiceId] = set()
+        self._may_merge = request.takes_merged
         self._is_starting = True
         self.is_over = False
 
@@ -118,31 +123,41 @@
             self._send_report(is_last=False)
 
     def _send_report(self, *, is_last: bool) -> None:
-        parts = []
+        fresh: dict[ServiceId, Reply] = {}
         tried: dict[str, Sequence[str]] = {}
         for shard in self._shards.all:
             if shard.part is None:
                 tried[shard.service] = tuple(shard.tried)
             elif shard.service not in self._reported:
-                self._reported.add(shard.service)
-                parts.append(self._part_of(shard))
+                fresh[shard.service] = shard.part
+        self._reported.update(fresh)
         self._report(
             PartsReport(
                 self._number,
-                parts,
+                self._parts_of(fresh),
                 tried,
                 self._shards.is_closed,
                 is_last,
                 tuple(self._shards.ended_shards),
+                self._may_merge,
             )
         )
+        self._may_merge = self._may_merge and not self._shards.is_closed
+
+    def _parts_of(self, replies: Mapping[ServiceId, Reply]) -> list[Part]:
+        records = self._records_of([reply.body for reply in replies.values()])
+        return [
+            Part(service, reply.stamp, of_part)
+            for (service, reply), of_part in zip(
+                replies.items(), records, strict=True
+            )
+        ]
 
-    def _part_of(self, shard: ShardAttempts) -> Part:
-        assert shard.part is not None  # noqa: S101 -- checked by the caller
-        records = greatest_records(
-            (shard.part.body,), self._gather.record_count
-        )
-        return Part(shard.service, shard.part.stamp, records)
+    def _records_of(self, bodies: Sequence[bytes]) -> list[bytes]:
+        count = self._gather.record_count
+        if self._may_merge:
+            return records_in_common_answer(bodies, count)
+        return [greatest_records((body,), count) for body in bodies]
 
 
 def _schedule_of(
--- a/src/dandelionstage/relaying/relay_vm.py
+++ b/src/dandelionstage/relaying/relay_vm.py
@@ -105,10 +105,7 @@
             )
         # Before the parts, as a part shows that the request is not deadly.
         self.query.record_ends(map(ServiceId, message.ended))
-        for part in message.parts:
-            attempt = self.query.attempts.get(ServiceId(part.shard))
-            if attempt is not None:
-                attempt.end(_reply_of(part))
+        self.query.apply_together(lambda: self._apply_parts(message))
         if message.is_last:
             self.end(NoReply.RELAY_EMPTY)
 
@@ -118,6 +115,18 @@
         for attempt in tuple(self.query.attempts.values()):
             attempt.end(reason)
 
+    def _apply_parts(self, message: PartsReport) -> None:
+        replies = [
+            (attempt, _reply_of(part))
+            for part in message.parts
+            if (attempt := self.query.attempts.get(ServiceId(part.shard)))
+        ]
+        if message.is_merged and any(each.ended for each, _ in replies):
+            # The records of the others were left out because of this one's.
+            return
+        for attempt, reply in replies:
+            attempt.end(reply)
+
 
 @final
 class RelayVm:  # noqa: WPS214 -- many short methods on one connection
@@ -342,6 +351,7 @@
         least_coverage=gather.least_coverage,
         answer_left_ms=query.schedule.answer_ms - now_ms,
         left_ms=query.schedule.deadline_ms - now_ms,
+        takes_merged=True,
     )
 
 
--- a/tests/test_relay_run.py
+++ b/tests/test_relay_run.py
@@ -1,5 +1,12 @@
 """Relay runs: limits on attempts, times of reports and their contents."""
 
+from hypothesis import given
+from hypothesis import strategies as st
+
+from dandelionstage.gateway.records import (
+    greatest_records,
+    records_in_common_answer,
+)
 from dandelionstage.relaying.messages import RelayRequest
 from dandelionstage.relaying.relay_run import RelayRun
 
@@ -173,3 +180,35 @@
     relay.run.start()
     deadlines = {each.deadline_ms for each in relay.gateway.pending('s0')}
     assert deadlines == {1500.0}
+
+
+@given(
+    st.lists(
+        st.lists(st.binary(min_size=16, max_size=16), max_size=6).map(b''.join),
+        max_size=6,
+    ),
+    st.integers(1, 5),
+)
+def test_merged_parts_make_the_answer_of_whole_parts(bodies, count):
+    merged = records_in_common_answer(bodies, count)
+    assert greatest_records(merged, count) == greatest_records(bodies, count)
+    assert sum(map(len, merged)) <= sum(map(len, bodies))
+
+
+def test_parts_are_merged_until_a_report_has_closed_the_run():
+    """Later parts may be used without each other."""
+    relay = RelayHarness(takes_merged=True)
+    relay.run.start()
+    relay.answer('s0', body=record(9) * 2)
+    relay.answer('s1', body=record(1) * 2)
+    relay.gateway.timers.advance(ANSWER_MS)
+    relay.answer('s2', body=record(2) * 2)
+    merged, late = (report for report in relay.reports if report.parts)
+    assert merged.is_merged
+    assert [part.records for part in merged.parts] == [record(9) * 2, b'']
+    assert not late.is_merged
+    assert late.parts[0].records == record(2) * 2
+
+
+def record(number):
+    return bytes((number,)) * 16
--- a/tests/test_relay_vm.py
+++ b/tests/test_relay_vm.py
@@ -59,6 +59,7 @@
             {shard: attempt},
             lambda service, tried, is_all: None,
             lambda services: None,
+            lambda end_attempts: end_attempts(),
         )
         self.relay.send_query(query)
 
--- a/tests/test_shared_queries.py
+++ b/tests/test_shared_queries.py
@@ -3,14 +3,19 @@
 import asyncio
 import itertools
 from contextlib import asynccontextmanager
+from dataclasses import replace
 from types import MappingProxyType
 
 import httpx
 import pytest
 
+from dandelionstage.gateway.gather_run import GatherRun
 from dandelionstage.relaying import relay_vm
+from dandelionstage.relaying.messages import Part, PartsReport
 from tools.standins.platform.place import FRONT_PORT, Platform
 
+from .gateway_harness import GatewayHarness, gather_route, make_request
+
 SHARDS = tuple('s{0}'.format(number) for number in range(45))
 QUERY = MappingProxyType(
     {
@@ -170,3 +175,44 @@
             await platform.until(lambda: not pending_runs(nodes))
 
     asyncio.run(check())
+
+
+@pytest.mark.parametrize('is_late', [False, True])
+def test_answer_names_all_merged_parts_of_a_report_or_none(is_late):
+    """Regression of a trial: the first part of a late report made an answer."""
+    harness = GatewayHarness({})
+    route = gather_route(('s0', 's1'), least_coverage=0.5)
+    relay = FakeRelay()
+    harness.context = replace(harness.context, relays=relay)
+    run = harness.start(GatherRun, route, make_request())
+    if is_late:
+        run._shards.is_past_target = True
+    pending = relay_vm._PendingQuery(0, relay.query)
+    parts = [
+        Part('s0', 'stamp-0', b''),
+        Part('s1', 'stamp-1', b'9' * 16),
+    ]
+    pending.apply_report(PartsReport(0, parts, {}, True, True, (), True))
+    assert len(harness.answers) == 1
+    answer = harness.answers[0]
+    headers = dict(answer.headers)
+    assert headers[b'x-parts'] == b'stamp-0, stamp-1'
+    assert answer.body == b'9' * 16
+
+
+class FakeRelay:
+    """A relay, and the relays that a query is assigned to."""
+
+    vm = '10.0.0.9:1'
+
+    def __init__(self):
+        self.query = None
+
+    def assign_shards(self, shards):
+        return [(self, shards)]
+
+    def send_query(self, query):
+        self.query = query
+
+    def cancel_query(self, query):
+        """Do nothing."""
