--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -22,6 +22,7 @@
 
 _SPELL_S: Final = (0.3, 2.5)
 _QUIET_S: Final = (0.01, 3.0)
+_EVACUATION_S: Final = (0.5, 9.0)
 _MOMENT_S: Final = (0.05, 0.5)
 _LEVELS: Final = 1200
 _ODD_VALUES: Final = (
@@ -140,6 +141,10 @@
     await place.announce_leaving(place.random.choice(sorted(place.servers)))
 
 
+async def _evacuate(place: Place) -> None:
+    await place.evacuate(place.random.uniform(*_EVACUATION_S))
+
+
 async def _ask_quiet(place: Place) -> None:
     """Refuse all requests and ask for quiet, often longer than that lasts."""
     server = _any_server(place)
@@ -172,6 +177,7 @@
         _publish: 3,
         _replace_server: 2,
         _announce_leaving: 2,
+        _evacuate: 2,
         _ask_quiet: 3,
     },
 )
--- a/tools/soak/place.py
+++ b/tools/soak/place.py
@@ -53,6 +53,9 @@
     :ivar drained_ms: when a server was said to be leaving.
     :ivar announced_ms: when a server that is still listed began to say in its
         replies that it is leaving.
+    :ivar zone_of: data centre of each server.
+    :ivar evacuated_ms: data centres that were evacuated, from when and until
+        when the order stood.
     :ivar spoiled_ways: servers whose connections were disturbed.
     :ivar store_spells: spells in which the store was disturbed.
     :ivar stalls: when the soak itself stood still.
@@ -76,10 +79,13 @@
         self.sets: list[tuple[str, ...]] = []
         self.drained_ms: dict[str, float] = {}
         self.announced_ms: dict[str, float] = {}
+        self.zone_of: dict[str, str] = {}
+        self.evacuated_ms: list[tuple[str, float, float]] = []
         self.spoiled_ways: set[str] = set()
         self.store_spells: list[tuple[float, float]] = []
         self.stalls = Stalls()
         self._vm_count = vm_count
+        self._is_evacuating = False
         self._stack = AsyncExitStack()
 
     async def add_server(self, service: str) -> None:
@@ -90,6 +96,7 @@
         proxy = Proxy((host, _PROXY_PORT), server.address)
         await self._stack.enter_async_context(proxy)
         self.service_of[server.server] = service
+        self.zone_of[server.server] = zone
         self.servers[server.server] = server
         self.proxies[server.server] = proxy
         server.work_ms = self.random.uniform(*_WORK_MS)
@@ -103,6 +110,20 @@
         self._list(server, 'a', 'draining')
         self.drained_ms[name] = now_ms()
 
+    async def evacuate(self, for_s: float) -> None:
+        """Order that nothing be sent to one data centre, unless one is."""
+        zone = _ZONES[0]
+        key = 'op/evacuate/{0}'.format(zone)
+        if self._is_evacuating:
+            return
+        self._is_evacuating = True
+        self.platform.store.put(key, {})
+        began_ms = now_ms()
+        await asyncio.sleep(for_s)
+        self.evacuated_ms.append((zone, began_ms, now_ms()))
+        self.platform.store.remove(key)
+        self._is_evacuating = False
+
     async def announce_leaving(self, name: str) -> None:
         """Start another server; this one says in its replies that it leaves."""
         server = self.servers.pop(name)
--- a/tools/soak/promises.py
+++ b/tools/soak/promises.py
@@ -25,6 +25,8 @@
 #: The platform's bounds of the stand-in's settings.
 _APPLY_MS: Final = 3000.0
 _DRAIN_MS: Final = 3000.0
+#: Time within which an order to evacuate is in force.
+_EVACUATE_MS: Final = 5000.0
 _BUDGET_RATIO: Final = 0.2
 _BUDGET_SLACK: Final = 108
 _BUDGET_MS: Final = 10_000.0
@@ -48,6 +50,7 @@
     """Check what only all requests together show."""
     yield from _check_versions(place, asked)
     yield from _check_drains(place)
+    yield from _check_evacuations(place)
     yield from check_statements(place, asked)
     yield from _check_budgets(place)
     yield from _check_attempts(place)
@@ -214,6 +217,22 @@
             yield '{0}: {1} requests after it had left'.format(name, late)
 
 
+def _check_evacuations(place: Place) -> Iterator[str]:
+    for zone, began_ms, ended_ms in place.evacuated_ms:
+        if _is_excused(place, began_ms, began_ms + _EVACUATE_MS):
+            continue
+        is_late = within(began_ms + _EVACUATE_MS, ended_ms)
+        late = [each for each in _list_arrived(place, zone) if is_late(each[0])]
+        if late:
+            yield '{0} was evacuated and got {1}'.format(zone, late)
+
+
+def _list_arrived(place: Place, zone: str) -> Iterator[tuple[float, str]]:
+    for name, server in place.platform.servers.items():
+        if place.zone_of[name] == zone:
+            yield from server.arrived
+
+
 def _count_after(at_ms: float, arrived: Sequence[tuple[float, str]]) -> int:
     return sum(came_ms > at_ms for came_ms, _ in arrived)
 
