--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -36,6 +36,8 @@
         sets=[SET],
         drained_ms={},
         announced_ms={},
+        evacuated_ms=[],
+        zone_of=dict.fromkeys(services, 'a'),
         spoiled_ways=set(),
         has_relays=False,
         store_spells=[],
@@ -187,6 +189,18 @@
     assert check(place)
 
 
+def test_request_to_an_evacuated_data_centre_is_found():
+    place = make_place()
+    place.evacuated_ms.append(('a', 100.0, 9000.0))
+    server = place.platform.servers['i-1']
+    server.arrived.append((5000.0, 'r1'))
+    assert not check(place, make_asked(place))
+    server.arrived.append((5200.0, 'r2'))
+    broken = check(place, make_asked(place))
+    assert len(broken) == 1
+    assert 'evacuated' in broken[0]
+
+
 def test_request_to_a_server_that_said_it_leaves_is_found():
     place = make_place()
     place.announced_ms['i-4'] = 1000.0
