The diff read as a newcomer: two claims corrected, one constant in one place

The number of VMs that issue permits stood in two places, of which one bounds what a cold server gets; it is in placing/permit_issuer.py alone. Names and comments only, besides.

--- a/src/dandelionstage/catalog/route_findings.py
+++ b/src/dandelionstage/catalog/route_findings.py
@@ -1,4 +1,4 @@
-"""What published routes hold in vain, and what cannot be met."""
+"""Published entries that can never match, and values that contradict."""
 
 from collections.abc import Iterator, Mapping
 from dataclasses import fields
@@ -13,7 +13,7 @@
 
 
 def find_problems(table: RouteTable) -> Iterator[Finding]:
-    """List what a version holds in vain, and what cannot be met."""
+    """List entries that can never match, and values that contradict."""
     yield from _check_limits(table.limits)
     for service in table.services.values():
         yield from _check_service(service)
--- a/src/dandelionstage/gateway/server_use.py
+++ b/src/dandelionstage/gateway/server_use.py
@@ -40,8 +40,9 @@
 class ServerUse:  # noqa: WPS214 -- one method for each change
     """Decides which listed servers are used, and how far.
 
-    Whatever reports a change, a server that may not be sent to has no replica,
-    so that every sender passes it over.
+    Whatever reports a change, a server that is to get nothing more has no
+    replica, so that every sender passes it over.  Limits and quiet times are
+    kept in the pool of the replica.
 
     :ivar cold_tolerance: by how much cold servers bear more than their rate.
     """
--- a/src/dandelionstage/placing/permit_issuer.py
+++ b/src/dandelionstage/placing/permit_issuer.py
@@ -10,8 +10,11 @@
 
 from ..catalog.servers import ServerStart
 
-__all__ = ('DEPTH_S', 'PERMIT_MS', 'Grant', 'PermitIssuer')
+__all__ = ('DEPTH_S', 'ISSUERS', 'PERMIT_MS', 'Grant', 'PermitIssuer')
 
+#: Number of VMs that issue the permits of a server.  While one of them is
+#: gone, its part of the limit is not used.
+ISSUERS: Final = 3
 #: Duration of a permit.  Those granted before a window may be used in it, so a
 #: server gets at most the permits of a window and of this time.
 PERMIT_MS: Final = 800.0
--- a/src/dandelionstage/placing/server_limits.py
+++ b/src/dandelionstage/placing/server_limits.py
@@ -112,10 +112,10 @@
         age_ms = max(0, int(now_ms - known.said_ms))
         return LimitReport(start[0], start[1], known.per_s, age_ms)
 
-    def report_or_none_named(
+    def report_or_unstated(
         self, start: ServerStart, now_ms: float
     ) -> LimitReport:
-        """Return what is known of a server, or a report that says nothing."""
+        """Return what is known of a server, or a report too old to be used."""
         return self.report(start, now_ms) or LimitReport(
             start[0], start[1], 0, int(_EXPIRY_MS) + 1
         )
--- a/src/dandelionstage/placing/server_pace.py
+++ b/src/dandelionstage/placing/server_pace.py
@@ -22,8 +22,8 @@
 #: An answer counts at most as this many times slower or faster; failures and
 #: pauses are the concern of other estimates.
 _MAX_RATIO: Final = 3.0
-#: Slow-down of a server with all slots taken that is assumed at first, and the
-#: highest one that is learned.
+#: By how much longer a request takes with all slots taken than alone, as a
+#: fraction: assumed at first, and the most that is learned.
 _USUAL_CROWDING: Final = 1.0
 _MAX_CROWDING: Final = 3.0
 
@@ -89,7 +89,7 @@
         return waiting * (1 + self._crowding * self._taken(at_work))
 
     def _taken(self, at_work: int) -> float:
-        """Return the fraction of the other slots that are taken, 0 to 1."""
+        """Return the fraction of the slots besides its own that are taken."""
         others = self._slots - 1
         return min(1, (at_work - 1) / others) if others else 0
 
--- a/src/dandelionstage/placing/warm_up.py
+++ b/src/dandelionstage/placing/warm_up.py
@@ -11,6 +11,7 @@
 from typing import Final, final
 
 from ..catalog.servers import ServerStart
+from .permit_issuer import ISSUERS
 
 __all__ = ('COLD_DEPTH_S', 'COLD_PERMIT_MS', 'AssumedWarmUps', 'ColdTolerance')
 
@@ -19,10 +20,8 @@
 #: own.
 COLD_PERMIT_MS: Final = 300.0
 COLD_DEPTH_S: Final = 0.2
-#: Each VM that issues permits has one at first, whatever the rate.
-_FIRST_PERMITS: Final = 3
 _MS_PER_S: Final = 1000.0
-#: A rate that asks whether the server still takes none.
+#: Lowest rate; a server that gets nothing would never be found warm.
 _MIN_PER_S: Final = 0.25
 #: Number of servers that are remembered.
 _MAX_SERVERS: Final = 4096
@@ -45,7 +44,8 @@
 
         :param per_s: rate that the server takes.
         """
-        borne = self.ratio * per_s + self.slack - _FIRST_PERMITS
+        # Each issuer has one permit at first, whatever the rate.
+        borne = self.ratio * per_s + self.slack - ISSUERS
         seconds = 1 + COLD_PERMIT_MS / _MS_PER_S + COLD_DEPTH_S
         return max(_MIN_PER_S, min(per_s, borne / seconds))
 
--- a/src/dandelionstage/spread/permit_exchange.py
+++ b/src/dandelionstage/spread/permit_exchange.py
@@ -12,7 +12,7 @@
 from ..gateway.run_context import Timer
 from ..model.ids import VmId
 from ..operations.events import EventLog
-from ..placing.permit_issuer import DEPTH_S, Grant, PermitIssuer
+from ..placing.permit_issuer import DEPTH_S, ISSUERS, Grant, PermitIssuer
 from ..placing.send_limit import SendLimit
 from ..placing.server_limits import ServerLimits
 from ..placing.warm_up import COLD_DEPTH_S
@@ -22,9 +22,6 @@
 
 __all__ = ('ExchangeContext', 'PermitExchange', 'PermitSeeker')
 
-#: Number of VMs that issue the permits of a server.  While one of them is
-#: gone, its part of the limit is not used.
-_ISSUERS: Final = 3
 #: An issuer that has not replied within this time is not waited for, and not
 #: asked again for the times below, which double with each failure.
 _REPLY_TIMEOUT_MS: Final = 60.0
@@ -159,7 +156,7 @@
     def issuers_of(self, record: ServerRecord) -> tuple[VmId, ...]:
         """Return the VMs that issue the permits of a server."""
         vms = self._members.in_data_centre(record.data_centre)
-        return rank_vms(record.server, vms)[:_ISSUERS]
+        return rank_vms(record.server, vms)[:ISSUERS]
 
     def _evict(self) -> None:
         """Drop the states without a request in progress if there are many."""
@@ -177,7 +174,7 @@
             self._refuse(seeker, negotiation, at_ms)
             return
         request = PermitRequest(
-            self._limits.report_or_none_named(_start_of(seeker.record), at_ms),
+            self._limits.report_or_unstated(_start_of(seeker.record), at_ms),
             seeker.limit.wanted(seeker.unpermitted_count),
             at_ms,
             seeker.limit.cold_per_s,
--- a/tests/test_shared_queries.py
+++ b/tests/test_shared_queries.py
@@ -179,7 +179,7 @@
 
 @pytest.mark.parametrize('is_late', [False, True])
 def test_answer_names_all_merged_parts_of_a_report_or_none(is_late):
-    """Regression of a trial: the first part of a late report made an answer."""
+    """Guards against an answer made of the first part of a late report."""
     harness = GatewayHarness({})
     route = gather_route(('s0', 's1'), least_coverage=0.5)
     relay = FakeRelay()
