Paces are learned only where queries are split between VMs

Cause: the choice went by the pace at every service. Where queries are not split, each VM of 12 to 20 sees a small part of a server's requests, so that its pace is mostly the assumption of a usual server.

Change: a replica has a pace only if its service belongs to a query over 40 shards or more, as the published routes say; elsewhere the choice is that of again (requests at work times slowness, 1.4 for another data centre).

--- a/src/dandelionstage/gateway/outcomes.py
+++ b/src/dandelionstage/gateway/outcomes.py
@@ -128,7 +128,9 @@
         replica.queue.observe(served_ms - self._base.base_ms, now_ms)
         replica.throttle.record_answer(now_ms)
         replica.slowness.observe(self._ratio(elapsed_ms), now_ms)
-        replica.pace.observe(self._ratio(served_ms), attempt.at_work, now_ms)
+        if replica.pace is not None:
+            ratio = self._ratio(served_ms)
+            replica.pace.observe(ratio, attempt.at_work, now_ms)
         self._context.response_times.add(self._route.name, elapsed_ms)
         self._context.log.counts.part(self._route.name, elapsed_ms)
 
--- a/src/dandelionstage/gateway/server_use.py
+++ b/src/dandelionstage/gateway/server_use.py
@@ -7,12 +7,13 @@
 from ..catalog.catalog import Catalog
 from ..catalog.evacuations import EvacuationOrder
 from ..catalog.leaving_servers import LeavingServers
-from ..catalog.routes import RouteTable, Service
+from ..catalog.routes import RouteTable, Service, ServiceId
 from ..catalog.servers import ServerId, ServerRecord
 from ..operations.events import EventLog
 from ..placing.quiet_servers import QuietServers
 from ..placing.replicas import Replica, Replicas
 from ..placing.server_limits import ServerLimits
+from ..placing.shard_groups import is_split
 from ..placing.warm_up import AssumedWarmUps, ColdTolerance
 from .run_context import Pool
 
@@ -64,10 +65,12 @@
         self._log = log
         self._now_ms = now_ms
         self._warm_ups = AssumedWarmUps()
+        self._shared_services: frozenset[ServiceId] = frozenset()
         catalog.on_server_updated.append(self._update)
         catalog.on_server_removed.append(self._remove)
         catalog.on_evacuation.append(self._apply_evacuation)
         catalog.on_routes.append(self._apply_cold_limits)
+        catalog.on_routes.append(self._learn_paces)
 
     def service_of(self, record: ServerRecord) -> Service | None:
         """Return the published service of a server, if any."""
@@ -113,6 +116,7 @@
         )
         replica = self._replicas.replica(record.server)
         if replica is not None:
+            self._learn_pace(replica)
             limit = replica.pool.limit
             limit.rest(self._statements.quiet.until_ms(record.start))
             limit.change(self._statements.limits.per_s(record))
@@ -150,6 +154,26 @@
         for replica in self._replicas:
             self._limit_cold(replica)
 
+    def _learn_paces(self, routes: RouteTable) -> None:
+        """Learn how fast the servers work that split queries go to.
+
+        One VM of the data centre gets most of what such a server is asked by
+        the data centre, so that it sees enough of the answers.
+        """
+        self._shared_services = frozenset(
+            service
+            for route in routes
+            if route.gather and is_split(route.gather.shards)
+            for service in route.gather.shards
+        )
+        for replica in self._replicas:
+            self._learn_pace(replica)
+
+    def _learn_pace(self, replica: Replica[Pool]) -> None:
+        replica.learn_pace(
+            is_wanted=replica.record.service in self._shared_services
+        )
+
     def _limit_cold(self, replica: Replica[Pool]) -> None:
         """Limit a cold server to the rate that its service names, if any."""
         left_ms = replica.cold_until_ms - self._now_ms()
--- a/src/dandelionstage/placing/replicas.py
+++ b/src/dandelionstage/placing/replicas.py
@@ -15,9 +15,11 @@
 __all__ = ('ConnectionPool', 'Replica', 'Replicas')
 
 #: Cost factor for a server in another data centre: latency is higher, and
-#: traffic between data centres costs money.  It is used where a local one is
-#: expected to take so many times as long.
-_REMOTE_FACTOR: Final = 1.6
+#: traffic between data centres costs money.  An idle remote server is still
+#: preferred to a local one that already handles a request of this VM.
+_REMOTE_FACTOR: Final = 1.4
+#: The same where paces are learned, and so single answers weigh less.
+_REMOTE_PACE_FACTOR: Final = 1.6
 #: A single answer takes this much longer than usual without a cause at the
 #: server, as requests differ in work.
 _USUAL_SPREAD: Final = 1.3
@@ -61,7 +63,9 @@
 
 
 @final
-class Replica(Generic[Pool]):
+class Replica(  # noqa: WPS214 -- short methods on one record
+    Generic[Pool]
+):
     """A backend server and this VM's measurements of it.
 
     :ivar record: the server's own description of itself.
@@ -70,7 +74,8 @@
     :ivar is_slow: whether the server was last logged as slow.  Used for the
         log only; :meth:`cost` uses the estimate itself.
     :ivar slowness: estimate of how much slower than usual the next answer is.
-    :ivar pace: how fast the server works, and how much it takes.
+    :ivar pace: how fast the server works, and how much it takes; ``None`` where
+        it is not learned.
     :ivar throttle: counts of requests sent and answered.
     :ivar queue: estimate of how long a request waits before it runs.
     :ivar cold_until_ms: end of the server's warm-up by this VM's clock.
@@ -95,7 +100,7 @@
         self.is_remote = is_remote
         self.is_slow = False
         self.slowness = Slowness()
-        self.pace = ServerPace(record.slots)
+        self.pace: ServerPace | None = None
         self.throttle = Throttle()
         self.queue = QueueDelay()
         self.cold_until_ms: float = 0
@@ -124,10 +129,18 @@
         """Take the server for cold for a time."""
         self.cold_until_ms = now_ms + left_ms
 
+    def learn_pace(self, *, is_wanted: bool) -> None:
+        """Begin to learn the server's pace, or forget it."""
+        if not is_wanted:
+            self.pace = None
+        elif self.pace is None:
+            self.pace = ServerPace(self.record.slots)
+
     def reset_estimates(self) -> None:
         """Forget everything that was measured of the server."""
         self.slowness = Slowness()
-        self.pace = ServerPace(self.record.slots)
+        if self.pace is not None:
+            self.pace = ServerPace(self.record.slots)
         self.throttle = Throttle()
         self.queue = QueueDelay()
 
@@ -136,11 +149,7 @@
 
         :returns: infinity if the server does not permit one.
         """
-        cost = self.pace.expected(self.pool.load + 1, now_ms)
-        if not self.slowness.is_usual:
-            cost *= max(1, self.slowness.ratio(now_ms) / _USUAL_SPREAD)
-        if self.is_remote:
-            cost *= _REMOTE_FACTOR
+        cost = self._expected_time(now_ms)
         if not self.pool.has_idle_connection:
             cost *= _NEW_CONNECTION_FACTOR
         if now_ms < self.cold_until_ms:
@@ -149,6 +158,17 @@
             return _INFINITE
         return cost
 
+    def _expected_time(self, now_ms: float) -> float:
+        """Return the relative time of one more request, weighed by place."""
+        at_work = self.pool.load + 1
+        if self.pace is None:
+            expected = at_work * self.slowness.ratio(now_ms)
+            return expected * _REMOTE_FACTOR if self.is_remote else expected
+        expected = self.pace.expected(at_work, now_ms)
+        if not self.slowness.is_usual:
+            expected *= max(1, self.slowness.ratio(now_ms) / _USUAL_SPREAD)
+        return expected * _REMOTE_PACE_FACTOR if self.is_remote else expected
+
 
 _ByService = dict[ServiceId, list[Replica[Pool]]]
 
--- a/src/dandelionstage/placing/shard_groups.py
+++ b/src/dandelionstage/placing/shard_groups.py
@@ -14,7 +14,7 @@
 from ..model.ids import VmId
 from ..routing.rendezvous import rank_vms
 
-__all__ = ('GroupVmSelector', 'split_into_groups')
+__all__ = ('GroupVmSelector', 'is_split', 'split_into_groups')
 
 #: Maximum number of shards that one VM queries when a query is split.  A group
 #: costs the VM that received the query about as much as two sub-requests, so
@@ -29,11 +29,16 @@
 _Item = TypeVar('_Item')
 
 
+def is_split(shards: Collection[object]) -> bool:
+    """Whether a query over the shards is split."""
+    return len(shards) >= _MIN_SPLIT_SHARDS
+
+
 def split_into_groups(shards: Sequence[_Item]) -> Iterator[Sequence[_Item]]:
     """Split the shards of a query into groups of nearly equal size."""
     count = len(shards)
     groups = 1
-    if count >= _MIN_SPLIT_SHARDS:
+    if is_split(shards):
         groups = math.ceil(count / _MAX_GROUP_SHARDS)
     ends = [count * (number + 1) // groups for number in range(groups)]
     for start, end in pairwise((0, *ends)):
--- a/tests/test_server_pace.py
+++ b/tests/test_server_pace.py
@@ -5,11 +5,20 @@
 
 import pytest
 
+from dandelionstage.catalog.catalog import Catalog
+from dandelionstage.catalog.leaving_servers import LeavingServers
+from dandelionstage.catalog.routes import CallerLimits, RouteTable
 from dandelionstage.catalog.servers import ServerRecord, ServerState
+from dandelionstage.gateway.server_use import ServerStatements, ServerUse
+from dandelionstage.operations.events import EventLog
+from dandelionstage.placing.quiet_servers import QuietServers
 from dandelionstage.placing.replicas import Replicas
+from dandelionstage.placing.server_limits import ServerLimits
 from dandelionstage.placing.server_pace import ServerPace
+from dandelionstage.placing.warm_up import ColdTolerance
+from dandelionstage.platform.entry_parser import EntryParser
 
-from .gateway_harness import FakePool, ManualTimers
+from .gateway_harness import FakePool, ManualTimers, gather_route
 
 #: Requests differ in work as those of the users do.
 SPREAD = 0.35
@@ -68,7 +77,7 @@
     assert pace.expected(1, end_ms + 60_000) == pytest.approx(1, abs=0.05)
 
 
-def make_replicas():
+def make_replicas(*, is_learned=True):
     timers = ManualTimers()
     replicas = Replicas('here', lambda each: FakePool(each, timers), Random(1))
     for number, place in enumerate(('here', 'there', 'elsewhere')):
@@ -84,6 +93,8 @@
             ),
             0,
         )
+    for replica in replicas:
+        replica.learn_pace(is_wanted=is_learned)
     return replicas
 
 
@@ -124,5 +135,26 @@
     assert pool.load <= 3
 
 
+@pytest.mark.parametrize(('shards', 'is_learned'), [(39, False), (40, True)])
+def test_paces_are_learned_where_queries_are_split(shards, is_learned):
+    """Elsewhere a VM sees too few of the answers of a server."""
+    catalog = Catalog(EntryParser(EventLog(len, float)))
+    replicas = make_replicas(is_learned=False)
+    ServerUse(
+        catalog,
+        replicas,
+        ServerStatements(LeavingServers(), ServerLimits(), QuietServers()),
+        ColdTolerance(),
+        EventLog(len, float),
+        float,
+    )
+    names = ['s', *map(str, range(1, shards))]
+    for routes, wanted in (([gather_route(names)], is_learned), ([], False)):
+        table = RouteTable(1, routes, {}, CallerLimits())
+        for on_routes in catalog.on_routes:
+            on_routes(table)
+        assert {each.pace is not None for each in replicas} == {wanted}
+
+
 class _Unfinished:
     ended = False
