--- a/src/dandelionstage/gateway/gather_run.py
+++ b/src/dandelionstage/gateway/gather_run.py
@@ -1,10 +1,10 @@
 """Processing of a scatter-gather query over many shards."""
 
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from http import HTTPStatus
 from typing import Final, final
 
-from ..catalog.routes import Gather, Route
+from ..catalog.routes import Gather, Route, ServiceId
 from ..placing.shard_choice import (
     choose_skipped_shards,
     quiet_left_ms,
@@ -33,6 +33,8 @@
 #: Attempt number for the first back-off after the target, which makes the
 #: first wait random up to 64 ms and later ones longer.
 _FIRST_BACKOFF_ATTEMPT: Final = 4
+#: Longer waits that relays report count like this one.
+_MAX_WAIT_MS: Final = 5000.0
 _OCTET_STREAM_HEADER: Final = (b'content-type', b'application/octet-stream')
 
 
@@ -153,11 +155,21 @@
                 tried, is_all=is_all
             ),
             self._shards.record_relayed_ends,
+            self._record_waits,
             self._apply_together,
         )
         self._relayed.append((relay, query))
         relay.send_query(query)
 
+    def _record_waits(self, waits_ms: Mapping[str, float]) -> None:
+        """Take what a relay knows of queues that this VM does not join."""
+        now_ms = self._context.now_ms()
+        for service, wait_ms in waits_ms.items():
+            for replica in self._context.replicas.for_service(
+                ServiceId(service)
+            ):
+                replica.queue.observe(min(wait_ms, _MAX_WAIT_MS), now_ms)
+
     def _apply_together(self, end_attempts: Callable[[], None]) -> None:
         """Take the parts of a report; answer only when all are taken."""
         was_sending = self._is_sending
--- a/src/dandelionstage/gateway/relays.py
+++ b/src/dandelionstage/gateway/relays.py
@@ -28,6 +28,8 @@
         has sent to, and whether the relay sends to no others.
     :ivar record_ends: called with the shards whose servers ended while they
         had the request of the relay.
+    :ivar record_waits: called with how long a request waits at the best server
+        of some shards, in milliseconds.
     :ivar apply_together: calls a function that ends several attempts; no answer
         is made of a part of them.
     """
@@ -38,6 +40,7 @@
     attempts: Mapping[ServiceId, Attempt]
     record_tried: Callable[[ServiceId, Iterable[ServerId], bool], None]
     record_ends: Callable[[Iterable[ServiceId]], None]
+    record_waits: Callable[[Mapping[str, float]], None]
     apply_together: Callable[[Callable[[], None]], None]
 
     @property
--- a/src/dandelionstage/relaying/messages.py
+++ b/src/dandelionstage/relaying/messages.py
@@ -99,6 +99,8 @@
     :ivar is_last: whether this is the last report on the query.
     :ivar ended: shards whose servers ended while they had the request.
     :ivar is_merged: whether the parts may only be used together.
+    :ivar waits_ms: how long a request waits at the best server, by shard, for
+        those where it waits.
     """
 
     number: int
@@ -108,6 +110,7 @@
     is_last: bool
     ended: Sequence[str] = ()
     is_merged: bool = False
+    waits_ms: dict[str, float] = {}  # noqa: RUF012 -- copied by msgspec
 
 
 @final
--- a/src/dandelionstage/relaying/relay_run.py
+++ b/src/dandelionstage/relaying/relay_run.py
@@ -11,6 +11,7 @@
 from ..gateway.run_helpers import SingleTimer
 from ..gateway.shard_attempts import QueryAttempts
 from ..gateway.run_context import RunContext
+from ..placing.query_admission import shard_waits_ms
 from ..placing.server_ends import RequestDigest
 from .messages import Part, PartsReport, RelayRequest
 
@@ -18,6 +19,8 @@
 
 #: Time reserved for sending the parts back and for the other VM to merge them.
 _RETURN_MS: Final = 3.0
+#: Shorter waits are not reported.
+_LEAST_WAIT_MS: Final = 2.0
 
 
 @final
@@ -140,10 +143,21 @@
                 is_last,
                 tuple(self._shards.ended_shards),
                 self._may_merge,
+                self._waits_ms() if self._shards.is_closed or is_last else {},
             )
         )
         self._may_merge = self._may_merge and not self._shards.is_closed
 
+    def _waits_ms(self) -> dict[str, float]:
+        """Return where a request would wait, and how long."""
+        now_ms = self._context.now_ms()
+        waits_ms = shard_waits_ms(self._gather, self._context.replicas, now_ms)
+        return {
+            service: round(wait_ms)
+            for service, wait_ms in waits_ms.items()
+            if wait_ms >= _LEAST_WAIT_MS
+        }
+
     def _parts_of(self, replies: Mapping[ServiceId, Reply]) -> list[Part]:
         records = self._records_of([reply.body for reply in replies.values()])
         return [
--- a/src/dandelionstage/relaying/relay_vm.py
+++ b/src/dandelionstage/relaying/relay_vm.py
@@ -105,6 +105,7 @@
             )
         # Before the parts, as a part shows that the request is not deadly.
         self.query.record_ends(map(ServiceId, message.ended))
+        self.query.record_waits(message.waits_ms)
         self.query.apply_together(lambda: self._apply_parts(message))
         if message.is_last:
             self.end(NoReply.RELAY_EMPTY)
--- a/tests/test_gather_run.py
+++ b/tests/test_gather_run.py
@@ -16,6 +16,7 @@
     slow_threshold_ms,
 )
 from dandelionstage.gateway.run_context import RouteResponseTimes
+from dandelionstage.placing.query_admission import expected_wait_ms
 
 from .gateway_harness import (
     FakePool,
@@ -451,6 +452,21 @@
     assert harness.events('budget_spent') == 1
 
 
+def test_queues_that_only_a_relay_sees_are_known_here():
+    """Load: a split query waits at servers that this VM never asks itself."""
+    harness = GatewayHarness(dict.fromkeys(SHARDS, 2))
+    relay = RelayStub(SHARDS)
+    harness.context = replace(harness.context, relays=relay)
+    start(harness)
+    gather = gather_route(SHARDS).gather
+    for wait_ms, at_most_ms in ((200, 200), (1e9, 5000)):
+        exactly_one(relay.sent).record_waits(dict.fromkeys(SHARDS, wait_ms))
+        now_ms = harness.timers.now_ms
+        expected = expected_wait_ms(gather, harness.replicas, now_ms)
+        assert 0.3 * wait_ms <= expected or wait_ms > at_most_ms
+        assert expected <= at_most_ms
+
+
 def test_relay_and_this_vm_share_the_attempt_limit():
     """A relay that reports nothing may have hedged, which uses attempts."""
     harness = GatewayHarness(dict.fromkeys(SHARDS, 4))
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -4,6 +4,7 @@
 queries a second; callers come with 45 a second, and with a multiple for 5 s.
 """
 
+from collections import Counter
 from dataclasses import replace
 from functools import cache
 
@@ -13,6 +14,7 @@
 from dandelionstage.gateway.gather_run import GatherRun
 from dandelionstage.placing.query_admission import (
     QueryAdmission,
+    UrgentDemand,
     expected_wait_ms,
 )
 from dandelionstage.placing.queue_delay import BaseTimes, QueueDelay
@@ -106,6 +108,61 @@
     assert outcomes.sub_requests <= 1.35 * possible * BURST.shards
 
 
+#: The same callers, the small queries of which have the highest rank.
+RANKED = replace(
+    BURST, kinds=(BURST.kinds[0], replace(BURST.kinds[1], priority=0))
+)
+
+
+@cache
+def ranked_shares(times, vms):
+    """Return the fractions of the full and the urgent queries served in time.
+
+    Three replays are counted together.
+    """
+    ended = Counter()
+    for seed in (1, 2, 3):
+        load = replace(RANKED, times=times, vms=vms)
+        ended += Replay(load, seed).run().by_kind
+    return [
+        (ended[kind, 'in_time'] + ended[kind, 'returned'])
+        / sum(count for (name, _), count in ended.items() if name == kind)
+        for kind in ('full', 'urgent')
+    ]
+
+
+@pytest.mark.parametrize('vms', [1, 20])
+@pytest.mark.parametrize('times', [3, 5])
+def test_urgent_queries_are_served_first_and_no_others_starve(times, vms):
+    """At least as well as any other, and each at half of the mean or more."""
+    full, urgent = ranked_shares(times, vms)
+    assert urgent >= full
+    mean = sum(
+        kind.share * share
+        for kind, share in zip(RANKED.kinds, (full, urgent), strict=True)
+    )
+    assert full >= 0.5 * mean
+
+
+@pytest.mark.parametrize('mean', [0.1, 0.3, 0.6, 0.9])
+@pytest.mark.parametrize('urgent_ms', [1, 20, 200])
+def test_urgent_demand_shares_what_is_refused(mean, urgent_ms):
+    demand = UrgentDemand()
+    assert demand.refused_fraction(mean, is_urgent=False) == mean
+    for _ in range(100):
+        demand.add(20, is_urgent=False)
+        demand.add(urgent_ms, is_urgent=True)
+    others = demand.refused_fraction(mean, is_urgent=False)
+    urgent = demand.refused_fraction(mean, is_urgent=True)
+    assert 0 <= urgent <= mean
+    assert mean <= others <= 1
+    assert 1 - others >= 0.5 * (1 - mean) - 1e-9
+    # Recent queries weigh a little more, here the urgent one.
+    share = urgent_ms / (20 + urgent_ms)
+    refused = share * urgent + (1 - share) * others
+    assert refused == pytest.approx(mean, rel=0.1)
+
+
 def make_route(name='q', *, priority=1, target_ms=200.0, shards=3):
     services = tuple(ServiceId('s{0}'.format(each)) for each in range(shards))
     return Route(
--- a/tests/test_relay_run.py
+++ b/tests/test_relay_run.py
@@ -146,6 +146,19 @@
     assert {each.server for each in relay.gateway.submitted('s2')} == tried
 
 
+def test_last_report_tells_where_requests_wait():
+    harness = RelayHarness()
+    harness.run.start()
+    harness.gateway.replicas.for_service('s0')[0].queue.raise_to(300, 0)
+    for replica in harness.gateway.replicas.for_service('s1'):
+        replica.queue.raise_to(40, 0)
+    harness.answer(*SHARDS)
+    waits_ms = harness.reports[-1].waits_ms
+    # The answer of one of the servers has shown that it waited less there.
+    assert waits_ms.keys() == {'s1'}
+    assert 20 <= waits_ms['s1'] <= 40
+
+
 def test_report_at_the_hedge_time_is_not_closing():
     relay = RelayHarness()
     relay.run.start()
--- a/tests/test_relay_vm.py
+++ b/tests/test_relay_vm.py
@@ -8,6 +8,8 @@
     PartsReport,
     RelayAcceptance,
     RelayCancel,
+    decode,
+    encode,
 )
 from dandelionstage.relaying.relay_vm import RelayContext, RelayVm
 
@@ -44,6 +46,7 @@
         self.relay = RelayVm('10.0.0.2:1', ('10.0.0.2', 1), context)
         self.relay._connection = self.connection
         self.outcomes = {}
+        self.waits_ms = {}
 
     def send_query(self, shard):
         attempt = Attempt(
@@ -59,6 +62,7 @@
             {shard: attempt},
             lambda service, tried, is_all: None,
             lambda services: None,
+            self.waits_ms.update,
             lambda end_attempts: end_attempts(),
         )
         self.relay.send_query(query)
@@ -100,3 +104,11 @@
     assert not harness.outcomes
     harness.timers.advance(ANSWER_MS + 60)
     assert harness.outcomes.keys() == {'s1'}
+
+
+def test_queues_that_a_relay_reports_are_passed_on():
+    harness = RelayHarness()
+    harness.send_query('s1')
+    report = PartsReport(0, [], {}, True, True, waits_ms={'s1': 40})
+    harness.receive(decode(encode(report)))
+    assert harness.waits_ms == {'s1': 40}
