--- a/src/dandelionstage/gateway/attempt.py
+++ b/src/dandelionstage/gateway/attempt.py
@@ -98,6 +98,7 @@
     monotonic clock.
 
     :ivar purpose: reason for which it is made.
+    :ivar is_head: whether it asks for the head of a reply only.
     :ivar at_work: requests of this VM at the server, this one included, when it
         was submitted.
     :ivar deadline_ms: time at which the server must stop working on it.
@@ -111,6 +112,7 @@
         'build_request',
         'deadline_ms',
         'ended',
+        'is_head',
         'on_end',
         'purpose',
         'request_id',
@@ -137,6 +139,7 @@
         self.build_request = build_request
         self.on_end = on_end
         self.purpose = AttemptPurpose.FIRST
+        self.is_head = False
         self.at_work = 1
         self.deadline_ms: float = 0
         self.started_ms: float = 0
--- a/src/dandelionstage/gateway/caller_connection.py
+++ b/src/dandelionstage/gateway/caller_connection.py
@@ -238,7 +238,7 @@
             return
         request = self._request
         self.is_last = self.is_last or self._context.must_close()
-        self._write(answer)
+        self._write(answer, is_head=request is not None and request.is_head)
         if request is not None:
             # Break the reference cycle between the run and its request.
             request.on_disconnect = None
@@ -260,14 +260,22 @@
         self._write(error_answer(fault.status, fault.reason))
         self._transport.close()
 
-    def _write(self, answer: Answer) -> None:
+    def _write(self, answer: Answer, *, is_head: bool = False) -> None:
+        """Write an answer; of one to HEAD its head only.
+
+        The length of the body that is left out is given if it is known.
+        """
+        length = len(answer.body)
         lines = [
             b'HTTP/1.1 %d %b\r\n'
             % (answer.status, _REASON_PHRASES.get(answer.status, b'')),
             *(b'%b: %b\r\n' % header for header in answer.headers),
             _CLOSE_HEADER if self.is_last else _KEEP_ALIVE_HEADER,
-            b'content-length: %d\r\n\r\n' % len(answer.body),
-            answer.body,
+            b'content-length: %d\r\n' % length
+            if length or not is_head
+            else b'',
+            b'\r\n',
+            b'' if is_head else answer.body,
         ]
         if self._transport is not None:
             self._transport.write(b''.join(lines))
--- a/src/dandelionstage/gateway/reply_reader.py
+++ b/src/dandelionstage/gateway/reply_reader.py
@@ -109,6 +109,8 @@
     :ivar exceeded: limit that broke the stream, ``None`` if none did.
     :ivar has_begun_reply: whether bytes of a reply that is not complete have
         arrived; after a complete reply they belong to no request.
+    :ivar is_head: whether the next reply has no body, whatever its head says,
+        as only a head was asked for.
     :ivar idle_timeout_ms: how long the server keeps an idle connection open,
         as last stated in a keep-alive header; 0 if not stated.
     :ivar stream: state of the byte stream.
@@ -130,6 +132,7 @@
         """
         self.exceeded: LimitExceeded | None = None
         self.has_begun_reply = False
+        self.is_head = False
         self.idle_timeout_ms: float = 0
         self.stream = StreamState.OPEN
         self._header_names = header_names
@@ -208,19 +211,15 @@
         self._has_head = True
         self._check_status_line()
         if self._parser.get_status_code() < _FIRST_FINAL_STATUS:
-            self._interim_count += 1
-            if self._interim_count > _MAX_INTERIM_REPLIES:
-                self._exceed(ReadLimit.INTERIM_REPLIES, self._interim_count)
-                raise _StopParser
             self._ends_at_eof = False
-            return
-        is_framed = any(name in _FRAMING_HEADERS for name, _ in self._headers)
-        is_bodiless = self._parser.get_status_code() in _BODILESS_STATUSES
-        self._ends_at_eof = not (is_framed or is_bodiless)
-        if self._ends_at_eof:
+            self._count_interim_reply()
+        elif self.is_head:
+            # The parser would wait for a body.
             self.stream = StreamState.NOT_REUSABLE
-            if not self._announces_close():
-                raise _StopParser
+            self.on_message_complete()
+            raise _StopParser
+        else:
+            self._find_end()
 
     def on_body(self, chunk: bytes) -> None:
         """Store a chunk of the body (called by the parser)."""
@@ -269,6 +268,22 @@
             ),
         )
 
+    def _count_interim_reply(self) -> None:
+        self._interim_count += 1
+        if self._interim_count > _MAX_INTERIM_REPLIES:
+            self._exceed(ReadLimit.INTERIM_REPLIES, self._interim_count)
+            raise _StopParser
+
+    def _find_end(self) -> None:
+        """Determine whether the body ends with the connection."""
+        is_framed = any(name in _FRAMING_HEADERS for name, _ in self._headers)
+        is_bodiless = self._parser.get_status_code() in _BODILESS_STATUSES
+        self._ends_at_eof = not (is_framed or is_bodiless)
+        if self._ends_at_eof:
+            self.stream = StreamState.NOT_REUSABLE
+            if not self._announces_close():
+                raise _StopParser
+
     def _check_status_line(self) -> None:
         """Break the stream if the status line is not that of one reply."""
         if self._parser.get_status_code() not in _STATUSES:
--- a/src/dandelionstage/gateway/requests.py
+++ b/src/dandelionstage/gateway/requests.py
@@ -78,6 +78,11 @@
     #: Set by the handler; called when the caller disconnects.
     on_disconnect: Callable[[], None] | None = None
 
+    @property
+    def is_head(self) -> bool:
+        """Whether only the head of an answer is asked for."""
+        return self.method == b'HEAD'
+
     @property
     def path(self) -> str:
         """The target without its query string."""
--- a/src/dandelionstage/gateway/run_helpers.py
+++ b/src/dandelionstage/gateway/run_helpers.py
@@ -110,6 +110,7 @@
         )
         attempt.deadline_ms = deadline_ms
         attempt.purpose = purpose
+        attempt.is_head = self._request.is_head
         attempt.at_work = replica.pool.load + 1
         limit_per_s = replica.pool.limit.per_s
         if limit_per_s:
--- a/src/dandelionstage/gateway/server_connection.py
+++ b/src/dandelionstage/gateway/server_connection.py
@@ -95,6 +95,7 @@
         self._got_foreign_reply = False
         at_ms = now_ms()
         attempt.sent_ms = at_ms
+        self._reader.is_head = attempt.is_head
         self._transport.write(
             attempt.build_request(attempt.deadline_ms - at_ms)
         )
--- a/tools/standins/platform/http_port.py
+++ b/tools/standins/platform/http_port.py
@@ -13,6 +13,7 @@
 __all__ = ('Asked', 'HttpPort', 'Serve')
 
 _RESET: Final = 'reset'
+_END_OF_HEAD: Final = b'\r\n\r\n'
 
 
 @final
@@ -135,6 +136,8 @@
         if answer == _RESET.encode():
             self._transport.abort()
             return
+        if asked.method == 'HEAD':
+            answer = answer[: answer.index(_END_OF_HEAD) + len(_END_OF_HEAD)]
         self._transport.write(answer)
         if b'connection: close' in answer.lower():
             self._transport.close()
