--- a/src/dandelionstage/platform/settings_file.py
+++ b/src/dandelionstage/platform/settings_file.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from ..model.decoding import decode_nested
 from ..operations.events import EventLog
 from .settings import BootSettings
 
@@ -14,6 +15,7 @@
 
 #: The file may change without a signal, so it is checked this often.
 _CHECK_INTERVAL_S: Final = 2.0
+_decode_settings: Final = msgspec.json.Decoder(BootSettings).decode
 
 
 class SettingsError(Exception):
@@ -76,6 +78,6 @@
                 '{0}: {1}'.format(self._path, error.strerror)
             ) from error
         try:
-            return msgspec.json.decode(text, type=BootSettings)
+            return decode_nested(_decode_settings, text)
         except msgspec.MsgspecError as fault:
             raise SettingsError('{0}: {1}'.format(self._path, fault)) from fault
--- a/src/dandelionstage/platform/store_bodies.py
+++ b/src/dandelionstage/platform/store_bodies.py
@@ -2,12 +2,13 @@
 
 import base64
 import binascii
-from typing import final
+from typing import Final, final
 
 import msgspec
 
 from ..catalog.catalog import CatalogItem
 from ..catalog.positions import StoreRevision, position
+from ..model.decoding import decode_nested
 
 __all__ = ('Page', 'WatchResult', 'decode_page', 'decode_watch_result')
 
@@ -79,7 +80,7 @@
     :raises msgspec.MsgspecError: if the body is not a page.
     :raises ValueError: if a revision is out of range.
     """
-    page = msgspec.json.decode(body, type=_PageBody)
+    page = decode_nested(_decode_page_body, body)
     items = [_decode_item(each, era) for each in page.items]
     if page.has_more and not items:
         raise ValueError('a page that is not the last has no items')
@@ -94,7 +95,7 @@
     :raises msgspec.MsgspecError: if the body is not a watch response.
     :raises ValueError: if a revision is out of range.
     """
-    result = msgspec.json.decode(body, type=_WatchBody)
+    result = decode_nested(_decode_watch_body, body)
     changed = [_decode_item(each, era) for each in result.events]
     return WatchResult(changed, position(era, result.as_of))
 
@@ -108,3 +109,7 @@
             # An empty value is an invalid entry; the entry parser logs it.
             raw = b''
     return CatalogItem(item.key, position(era, item.revision), raw)
+
+
+_decode_page_body: Final = msgspec.json.Decoder(_PageBody).decode
+_decode_watch_body: Final = msgspec.json.Decoder(_WatchBody).decode
--- a/src/dandelionstage/relaying/messages.py
+++ b/src/dandelionstage/relaying/messages.py
@@ -5,10 +5,12 @@
 """
 
 from collections.abc import Sequence
+from functools import partial
 from typing import final
 
 import msgspec
 
+from ..model.decoding import decode_nested
 from ..placing.server_ends import RequestReport
 
 __all__ = (
@@ -123,4 +125,4 @@
 Message = RelayRequest | RelayAcceptance | PartsReport | RelayCancel
 
 encode = msgspec.msgpack.Encoder().encode
-decode = msgspec.msgpack.Decoder(Message).decode
+decode = partial(decode_nested, msgspec.msgpack.Decoder(Message).decode)
--- a/src/dandelionstage/spread/deadly_messages.py
+++ b/src/dandelionstage/spread/deadly_messages.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from ..model.decoding import decode_nested
 from ..placing.deadly_requests import TRIAL_MS
 from ..placing.server_ends import EndReport, RequestReport
 
@@ -29,7 +30,7 @@
     :raises msgspec.MsgspecError: if it is no such message.
     :raises ValueError: if a field is out of its range.
     """
-    reports = _decode(datagram[len(PREFIX) :])
+    reports = decode_nested(_decode, datagram[len(PREFIX) :])
     for report in reports:
         check_request_report(report)
     return reports
--- a/src/dandelionstage/spread/messages.py
+++ b/src/dandelionstage/spread/messages.py
@@ -2,10 +2,13 @@
 
 import re
 from collections.abc import Sequence
+from functools import partial
+from math import isfinite
 from typing import Final, final
 
 import msgspec
 
+from ..model.decoding import decode_nested
 from ..placing.budget_loans import LENT_FRACTION, Loan
 from ..placing.server_limits import LimitReport
 from .permit_messages import check_report
@@ -134,22 +137,34 @@
     would spread through the fleet.
 
     :raises msgspec.MsgspecError: if it is not a hello.
-    :raises ValueError: if an address, an age, a loan or a limit is invalid.
+    :raises ValueError: if an address, an age, a loan, a ratio or a limit is
+        invalid.
     """
-    hello = _decode_hello(datagram)
+    hello = decode_nested(_decode_hello, datagram)
     for address in (hello.vm, *(known.vm for known in hello.known)):
         if not _ADDRESS.fullmatch(address):
             raise ValueError(
                 'invalid address of a VM: {0!a:.60}'.format(address)
             )
     _check_ages(hello)
-    if hello.loan is not None and not 0 <= hello.loan.fraction <= LENT_FRACTION:
-        raise ValueError('loan of {0} shares'.format(hello.loan.fraction))
+    if hello.loan is not None:
+        _check_loan(hello.loan)
+    if not all(isfinite(ratio) for _, ratio in hello.slow):
+        raise ValueError('a server that takes for ever')
     for report in hello.limits:
         check_report(report)
     return hello
 
 
+def _check_loan(loan: Loan) -> None:
+    """Check that a loan ends, and is not more than a VM lends.
+
+    :raises ValueError: if it is invalid.
+    """
+    if not 0 <= loan.fraction <= LENT_FRACTION or not isfinite(loan.until_ms):
+        raise ValueError(repr(loan))
+
+
 def _check_ages(hello: Hello) -> None:
     """Check that nothing is known of the future.
 
@@ -165,5 +180,9 @@
 _encoder = msgspec.msgpack.Encoder()
 encode = _encoder.encode
 _decode_hello: Final = msgspec.msgpack.Decoder(Hello).decode
-decode_pull_request = msgspec.msgpack.Decoder(PullRequest).decode
-decode_pull_reply = msgspec.msgpack.Decoder(PullReply).decode
+decode_pull_request = partial(
+    decode_nested, msgspec.msgpack.Decoder(PullRequest).decode
+)
+decode_pull_reply = partial(
+    decode_nested, msgspec.msgpack.Decoder(PullReply).decode
+)
--- a/src/dandelionstage/spread/permit_messages.py
+++ b/src/dandelionstage/spread/permit_messages.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from ..model.decoding import decode_nested
 from ..placing.server_limits import LimitReport
 
 __all__ = (
@@ -64,14 +65,16 @@
     :raises msgspec.MsgspecError: if it is no such message.
     :raises ValueError: if a field is out of its range.
     """
-    message = _decode(datagram[len(PREFIX) :])
+    message = decode_nested(_decode, datagram[len(PREFIX) :])
     check_report(message.limit)
     if isinstance(message, PermitRequest):
         is_valid = 0 < message.wanted <= _MAX_PERMITS and (
             0 <= message.cold_per_s < math.inf
         )
     else:
-        is_valid = 0 <= message.count <= _MAX_PERMITS and message.retry_ms >= 0
+        is_valid = 0 <= message.count <= _MAX_PERMITS and (
+            0 <= message.retry_ms < math.inf
+        )
     if not is_valid:
         raise ValueError('{0!a:.200}'.format(message))
     return message
