--- a/tests/test_shared_queries.py
+++ b/tests/test_shared_queries.py
@@ -113,6 +113,27 @@
     asyncio.run(check())
 
 
+@pytest.mark.usefixtures('long_accept_timeout')
+def test_servers_that_leave_in_relayed_parts_get_nothing_more(tmp_path):
+    """DRAIN: the VM that passes the answer on has not asked them itself."""
+
+    async def check():
+        async with running(tmp_path, 75) as (platform, nodes):
+            for server in tuple(platform.servers.values())[:40]:
+                server.is_leaving = True
+            assert is_complete(await send_query(nodes[0]))
+            assert len(events(platform, 'query_shared')[0]['relays']) >= 2
+            # Relays tell the other VMs, and this one, in their next hellos.
+            await platform.until(
+                lambda: len(events(platform, 'server_leaving')) == 40 * 4
+            )
+            reply = await send_query(nodes[0])
+            assert reply.status_code == 503
+            assert sum(requests_per_server(platform)) == len(SHARDS)
+
+    asyncio.run(check())
+
+
 @pytest.mark.usefixtures('long_accept_timeout')
 def test_stopping_vm_refuses_and_no_server_gets_two_requests(tmp_path):
     async def check():
