Revert: a VM that starts has its share of the retry budget at once again

What callers saw with it: in the ten seconds after a VM's start, an order or a lookup that a server refused was not tried at another one.

Cause: with ten requests a VM had 1.7 extra attempts to spend. A VM cannot tell its first start from a later one, so that each start paid for it.

Ruled out: a part of the share at once. A VM that starts knows no other VM yet, and takes the whole slack for its share.

To be tried next: peers that knew the VM before could tell it so in their first hello; a fleet that ends as a whole has nobody to tell.

--- a/src/dandelionstage/placing/budget_loans.py
+++ b/src/dandelionstage/placing/budget_loans.py
@@ -7,12 +7,12 @@
 
 from ..model.ids import VmId
 
-__all__ = ('LENT_FRACTION', 'LOAN_MS', 'Loan', 'Loans')
+__all__ = ('LENT_FRACTION', 'Loan', 'Loans')
 
 #: Fraction of its share that a VM lends, to one borrower at a time.
 LENT_FRACTION: Final = 0.5
 #: Duration of a loan in milliseconds, unless it is renewed.
-LOAN_MS: Final = 8000.0
+_LOAN_MS: Final = 8000.0
 #: A loan may be renewed once its remaining time is this short.
 _RENEWAL_MS: Final = 4000.0
 #: How long a VM requests loans after its own retry budget refused an extra
@@ -84,11 +84,11 @@
         """
         if self.should_borrow(now_ms) or not self._may_lend(borrower, now_ms):
             return None
-        valid_until_ms = now_ms + LOAN_MS
+        valid_until_ms = now_ms + _LOAN_MS
         self._lent = _LentLoan(
             borrower, valid_until_ms, valid_until_ms + window_ms
         )
-        return Loan(LENT_FRACTION, asked_ms + LOAN_MS)
+        return Loan(LENT_FRACTION, asked_ms + _LOAN_MS)
 
     def accept(self, lender: VmId, loan: Loan) -> None:
         """Store a received loan, replacing one that ends earlier."""
--- a/src/dandelionstage/placing/fleet_retry_budget.py
+++ b/src/dandelionstage/placing/fleet_retry_budget.py
@@ -8,7 +8,7 @@
 
 from ..catalog.routes import ServiceId
 from ..model.ids import VmId
-from .budget_loans import LENT_FRACTION, LOAN_MS, Loan, Loans
+from .budget_loans import LENT_FRACTION, Loan, Loans
 
 __all__ = ('FleetRetryBudgets', 'RetryBudgetLimits')
 
@@ -21,7 +21,6 @@
 #: Bins that a window is divided into for counting.
 _BINS_PER_WINDOW: Final = 10
 _MS_PER_S: Final = 1000.0
-_NEVER_MS: Final = float('-inf')
 
 
 @final
@@ -98,9 +97,7 @@
 
     The shares of all VMs never exceed the whole budget, even in a network
     partition: a VM that cannot be reached counts as a holder of a share until
-    its state expires, and a VM does not spend what it has lent.  A VM that has
-    started again does not know what it has spent and lent before, so it waits
-    until that has left the window.
+    its state expires, and a VM does not spend what it has lent.
     """
 
     def __init__(
@@ -108,17 +105,13 @@
         limits: RetryBudgetLimits,
         vm_count: Callable[[], int],
         loans: Loans | None = None,
-        started_ms: float = _NEVER_MS,
     ) -> None:
-        """Create budgets of which nothing is known to be spent.
+        """Create budgets of which nothing is spent.
 
         :param vm_count: returns the number of VMs that may send, including
             those that are dead or unreachable.
         :param loans: budget lent to and borrowed from other VMs.
-        :param started_ms: time at which this VM has started; before then it may
-            have spent its share in a former life.
         """
-        self._started_ms = started_ms
         self._loans = loans or Loans()
         self._limits = limits
         self._vm_count = vm_count
@@ -159,19 +152,17 @@
         :param now_ms: current time by this VM's clock.
         :returns: ``None`` if nothing is lent.
         """
-        share = self._share(now_ms)
-        if share < self._whole_share:
-            return None
-        kept = share * (1 - LENT_FRACTION) * _USABLE_FRACTION
+        kept = self._share() * (1 - LENT_FRACTION) * _USABLE_FRACTION
         for service in self._usage:
             if self._usage_of(service, now_ms).extras.total > kept:
                 return None
-        return self._loans.lend(borrower, asked_ms, now_ms, self._window_ms)
+        window_ms = self._limits.window_s * _MS_PER_S
+        return self._loans.lend(borrower, asked_ms, now_ms, window_ms)
 
     def _remaining(self, usage: _ServiceUsage, now_ms: float) -> float:
         # Requests are counted over slightly less than a window and extra
         # attempts over slightly more, so the result is never too high.
-        share = self._share(now_ms) * self._loans.share_factor(now_ms)
+        share = self._share() * self._loans.share_factor(now_ms)
         earned = self._limits.ratio * usage.requests.total
         budget = (share + earned) * _USABLE_FRACTION
         if not usage.extras.total:
@@ -180,25 +171,11 @@
         recent = sum(islice(usage.extras.bins, _BINS_PER_WINDOW // 2))
         return min(budget - usage.extras.total, burst - recent)
 
-    @property
-    def _window_ms(self) -> float:
-        return self._limits.window_s * _MS_PER_S
-
-    @property
-    def _whole_share(self) -> float:
+    def _share(self) -> float:
         return self._limits.slack / max(1, self._vm_count())
 
-    def _share(self, now_ms: float) -> float:
-        """Return the part of the share that was not spent or lent before."""
-        age_ms = now_ms - self._started_ms
-        if age_ms < self._window_ms:
-            return 0
-        if age_ms < self._window_ms + LOAN_MS:
-            return self._whole_share * (1 - LENT_FRACTION)
-        return self._whole_share
-
     def _usage_of(self, service: ServiceId, now_ms: float) -> _ServiceUsage:
-        bin_ms = self._window_ms / _BINS_PER_WINDOW
+        bin_ms = self._limits.window_s * _MS_PER_S / _BINS_PER_WINDOW
         bin_number = int(now_ms / bin_ms)
         usage = self._usage.get(service)
         if usage is None:
--- a/src/dandelionstage/platform/node.py
+++ b/src/dandelionstage/platform/node.py
@@ -77,7 +77,6 @@
             settings.retry_budget_limits,
             members.__len__,
             self._sources.spread.loans,
-            started_ms=now_ms(),
         )
         self._replicas: Replicas[Pool] = Replicas(
             settings.zone, self._make_pool, random
