--- a/review/standins-2/lab.py
+++ b/review/standins-2/lab.py
@@ -76,9 +76,17 @@
 
 
 class Store:
-    """The platform's store: range, key and watch."""
+    """The platform's store: range, key and watch.
+
+    :ivar stale_s: how old answers to serializable reads are.
+    """
 
     def __init__(self):
+        self.stale_s = 0
+        self._is_silent = False
+        self._silences = 0
+        self._never = asyncio.Event()
+        self._states = []
         self.revision = 100
         self.items = {}
         self.history = []
@@ -110,7 +118,17 @@
                 {'key': key, 'revision': self.revision, 'deleted': True}
             )
 
+    def be_silent(self, silent):
+        """Answer nothing, or again.
+
+        What arrives or waits meanwhile is never answered, and nothing further
+        comes on those connections.
+        """
+        self._is_silent = silent
+        self._silences += silent
+
     def _note(self, event):
+        self._states.append((now(), self.revision, dict(self.items)))
         self.history.append(event)
         self._changed.set()
         self._changed = asyncio.Event()
@@ -121,9 +139,12 @@
                 first, headers = head
                 await read_body(reader, headers)
                 target = urlsplit(first.split(' ')[1])
+                silences = self._silences
                 status, body = await self._answer(
                     target.path, dict(parse_qsl(target.query))
                 )
+                if self._is_silent or self._silences != silences:
+                    await self._never.wait()
                 raw = json.dumps(body).encode()
                 writer.write(
                     b'HTTP/1.1 %d X\r\nContent-Type: application/json\r\n'
@@ -151,19 +172,27 @@
 
     def _page(self, query):
         prefix, after = query.get('prefix', ''), query.get('after', '')
+        revision, known = self.revision, self.items
+        if query.get('serializable') == '1' and self.stale_s:
+            until = now() - self.stale_s
+            revision, known = max(
+                (state[1:] for state in self._states if state[0] <= until),
+                key=lambda state: state[0],
+                default=(100, {}),
+            )
         keys = sorted(
-            key for key in self.items if key.startswith(prefix) and key > after
+            key for key in known if key.startswith(prefix) and key > after
         )
         items, size = [], 0
         for key in keys:
-            size += len(self.items[key]['value'])
+            size += len(known[key]['value'])
             if items and (len(items) >= PAGE_ITEMS or size > PAGE_BYTES):
                 break
-            items.append(self.items[key])
+            items.append(known[key])
         return {
             'items': items,
             'hasMore': len(items) < len(keys),
-            'asOf': self.revision,
+            'asOf': revision,
         }
 
     async def _watch(self, query):
