--- a/review/standins-2/lab.py
+++ b/review/standins-2/lab.py
@@ -91,10 +91,20 @@
         self.items = {}
         self.history = []
         self._changed = asyncio.Event()
-        self._server = None
+        self._servers = {}
+        self._writers = {}
 
     async def open(self, host, port):
-        self._server = await asyncio.start_server(self._serve, host, port)
+        self._servers[host, port] = await asyncio.start_server(
+            self._serve, host, port
+        )
+
+    def leave(self, host, port):
+        """Serve an address no more."""
+        self._servers.pop((host, port)).close()
+        for writer, at in tuple(self._writers.items()):
+            if at == (host, port):
+                writer.close()
 
     def put(self, key, value):
         """Write an item as JSON; return the revision."""
@@ -134,6 +144,7 @@
         self._changed = asyncio.Event()
 
     async def _serve(self, reader, writer):
+        self._writers[writer] = writer.get_extra_info('sockname')[:2]
         try:
             while (head := await read_head(reader)) is not None:
                 first, headers = head
@@ -158,6 +169,7 @@
         ):
             pass
         finally:
+            self._writers.pop(writer, None)
             writer.close()
 
     async def _answer(self, path, query):
@@ -388,10 +400,17 @@
             },
         }
 
+    def write_settings(self, settings):
+        """Put the settings file of a machine in place; return its path."""
+        path = Path(self._dir.name) / (settings['nodeName'] + '.json')
+        draft = path.with_suffix('.new')
+        draft.write_text(json.dumps(settings))
+        draft.replace(path)
+        return path
+
     async def start_machine(self, settings):
         """Start one machine with the command of the deploy file."""
-        path = Path(self._dir.name) / (settings['nodeName'] + '.json')
-        path.write_text(json.dumps(settings))
+        path = self.write_settings(settings)
         env = {
             name: os.environ[name]
             for name in ('PATH', 'HOME', 'LANG')
